Serve a streamed completion through the whole path on loopback

Cause: the project is new and nothing can be measured before a request is served from end to end. Conclusion: the path is complete but thin; limits, placement and recovery are baselines that later changes replace.

--- /dev/null
+++ b/bench/src/main/java/org/skylarkstack/bench/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Load and experiment tool.
+ */
+@NullMarked
+package org.skylarkstack.bench;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/bench/src/main/java/org/skylarkstack/fleet/EnginePlan.java
@@ -0,0 +1,26 @@
+package org.skylarkstack.fleet;
+
+import org.skylarkstack.configuration.EngineNode;
+import org.skylarkstack.configuration.EngineRole;
+
+/**
+ * Engine of a planned fleet.
+ *
+ * @param id the engine
+ * @param dataCentre its data centre
+ * @param model the model
+ * @param role the role
+ * @param decodeSlots the requests that it decodes at once
+ * @param memoryPieces the KV cache memory in pieces
+ * @param prefillTokensPerSecond the prefill speed in tokens a second
+ * @param tokenMillis the time between two output tokens in milliseconds
+ */
+public record EnginePlan(String id, String dataCentre, String model, EngineRole role, int decodeSlots, int memoryPieces,
+		int prefillTokensPerSecond, int tokenMillis) {
+
+	EngineNode node(String url) {
+		return new EngineNode(this.id, url, this.dataCentre, this.model, this.role, this.decodeSlots, this.memoryPieces,
+				this.prefillTokensPerSecond, true, false);
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/org/skylarkstack/fleet/FleetClient.java
@@ -0,0 +1,130 @@
+package org.skylarkstack.fleet;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.time.Duration;
+import java.util.Objects;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import okhttp3.MediaType;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import org.skylarkstack.configuration.Ticket;
+
+/**
+ * Caller and operator of a local fleet.
+ */
+public final class FleetClient {
+
+	private static final MediaType JSON = Objects.requireNonNull(MediaType.parse("application/json"));
+
+	private static final long POLL_MILLIS = 25;
+
+	private static final long NANOS_PER_MILLI = 1_000_000;
+
+	private final ObjectMapper mapper = new ObjectMapper();
+
+	private final OkHttpClient client = new OkHttpClient.Builder().retryOnConnectionFailure(false)
+		.readTimeout(Duration.ofSeconds(30))
+		.build();
+
+	private final LocalFleet fleet;
+
+	/**
+	 * Creates a client.
+	 * @param fleet the fleet
+	 */
+	public FleetClient(LocalFleet fleet) {
+		this.fleet = fleet;
+	}
+
+	/**
+	 * Submits a ticket.
+	 * @param vmId the VM to ask
+	 * @param ticket the ticket
+	 * @return the answer
+	 */
+	public FleetAnswer submit(String vmId, Ticket ticket) {
+		try {
+			return send(new Request.Builder().url(this.fleet.operatorUrl(vmId) + "/operator/v1/tickets")
+				.header("Authorization", "Bearer " + LocalFleet.OPERATOR_KEY)
+				.post(RequestBody.create(this.mapper.writeValueAsString(ticket), JSON))
+				.build());
+		}
+		catch (JsonProcessingException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	/**
+	 * Waits until all running daemons are ready.
+	 * @param timeout the longest wait
+	 * @return the time waited in milliseconds, or -1 if the timeout passed
+	 */
+	public long awaitReady(Duration timeout) {
+		long started = System.nanoTime();
+		while (System.nanoTime() - started < timeout.toNanos()) {
+			if (this.fleet.vmIds().stream().allMatch(this::ready)) {
+				return (System.nanoTime() - started) / NANOS_PER_MILLI;
+			}
+			pause();
+		}
+		return -1;
+	}
+
+	private boolean ready(String vmId) {
+		return send(new Request.Builder().url(this.fleet.callerUrl(vmId) + "/readyz").build()).status() == 200;
+	}
+
+	private static void pause() {
+		try {
+			Thread.sleep(POLL_MILLIS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	/**
+	 * Returns a chat completion request.
+	 * @param vmId the VM to ask
+	 * @param key the caller's key
+	 * @param model the model
+	 * @param prompt the prompt
+	 * @param maxTokens the output bound in tokens
+	 * @return the request
+	 */
+	public Request chat(String vmId, String key, String model, String prompt, int maxTokens) {
+		String body = this.mapper.createObjectNode()
+			.put("model", model)
+			.put("stream", true)
+			.put("max_tokens", maxTokens)
+			.set("messages",
+					this.mapper.createArrayNode()
+						.add(this.mapper.createObjectNode().put("role", "user").put("content", prompt)))
+			.toString();
+		return new Request.Builder().url(this.fleet.callerUrl(vmId) + "/v1/chat/completions")
+			.header("Authorization", "Bearer " + key)
+			.post(RequestBody.create(body, JSON))
+			.build();
+	}
+
+	/**
+	 * Sends a request and reads its whole answer.
+	 * @param request the request
+	 * @return the answer; status 0 if the connection broke
+	 */
+	public FleetAnswer send(Request request) {
+		try (Response response = this.client.newCall(request).execute()) {
+			return new FleetAnswer(response.code(),
+					Objects.requireNonNullElse(response.header("X-Skylark-Verdict"), ""), response.body().string());
+		}
+		catch (IOException ex) {
+			return new FleetAnswer(0, "", String.valueOf(ex.getMessage()));
+		}
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/org/skylarkstack/fleet/LocalFleet.java
@@ -0,0 +1,183 @@
+package org.skylarkstack.fleet;
+
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.skylarkstack.configuration.ApiKey;
+import org.skylarkstack.configuration.Ticket;
+import org.skylarkstack.configuration.TicketChange;
+import org.skylarkstack.daemon.Daemon;
+import org.skylarkstack.misc.Hashes;
+import org.skylarkstack.settings.DaemonSettings;
+import org.skylarkstack.settings.ListenAddress;
+import org.skylarkstack.settings.PeerSettings;
+import org.skylarkstack.settings.PlatformSettings;
+import org.skylarkstack.standin.EngineStandIn;
+import org.skylarkstack.standin.PlatformStandIn;
+
+/**
+ * Running fleet on loopback: a platform, engines and daemons in this process.
+ */
+public final class LocalFleet implements AutoCloseable {
+
+	/** Key of the operators of a local fleet. */
+	public static final String OPERATOR_KEY = "local-operator-key";
+
+	private static final String LOOPBACK = "127.0.0.1";
+
+	private static final String SHARED_SECRET = "local-shared-secret";
+
+	private static final int PLATFORM_TIMEOUT_MILLIS = 1_000;
+
+	private final FleetPlan plan;
+
+	private final PlatformStandIn platform = new PlatformStandIn(0);
+
+	private final Map<String, EngineStandIn> engines = new LinkedHashMap<>();
+
+	private final Map<String, Daemon> daemons = new LinkedHashMap<>();
+
+	private final List<PeerSettings> peers = new ArrayList<>();
+
+	private LocalFleet(FleetPlan plan) {
+		this.plan = plan;
+	}
+
+	/**
+	 * Starts a fleet. Nothing is configured before the first ticket.
+	 * @param plan the plan
+	 * @return the running fleet
+	 */
+	public static LocalFleet start(FleetPlan plan) {
+		LocalFleet fleet = new LocalFleet(plan);
+		plan.engines()
+			.forEach((engine) -> fleet.engines.put(engine.id(),
+					new EngineStandIn(engine.id(), 0, engine.tokenMillis())));
+		plan.vms()
+			.forEach((vm) -> fleet.peers
+				.add(new PeerSettings(vm.vmId(), vm.dataCentre(), new ListenAddress(LOOPBACK, freePort()))));
+		plan.vms().forEach((vm) -> fleet.startDaemon(vm.vmId()));
+		return fleet;
+	}
+
+	private static int freePort() {
+		try (ServerSocket socket = new ServerSocket(0)) {
+			return socket.getLocalPort();
+		}
+		catch (IOException ex) {
+			throw new IllegalStateException("no free port on loopback", ex);
+		}
+	}
+
+	/**
+	 * Starts the daemon of a VM, with a new incarnation.
+	 * @param vmId the VM
+	 */
+	public void startDaemon(String vmId) {
+		PeerSettings self = this.peers.stream()
+			.filter((peer) -> peer.vmId().equals(vmId))
+			.findFirst()
+			.orElseThrow(() -> new IllegalArgumentException("VM %s is not planned".formatted(vmId)));
+		this.daemons.put(vmId, Daemon.start(settings(self)));
+	}
+
+	private DaemonSettings settings(PeerSettings self) {
+		String platformUrl = this.platform.url(self.dataCentre());
+		PlatformSettings platformSettings = new PlatformSettings(platformUrl + "/table", platformUrl + "/objects",
+				platformUrl + "/vms", "local", "local", "local-secret", "skylarkstack", "skylarkstack",
+				PLATFORM_TIMEOUT_MILLIS);
+		ListenAddress anyPort = new ListenAddress(LOOPBACK, 0);
+		return new DaemonSettings(self.vmId(), self.dataCentre(), anyPort, anyPort, self.address(),
+				this.peers.stream().filter((peer) -> !peer.equals(self)).toList(), platformSettings, SHARED_SECRET,
+				Hashes.sha256(OPERATOR_KEY), this.plan.vms().size(), this.plan.placementPolicy(), null, null);
+	}
+
+	/**
+	 * Stops the daemon of a VM gracefully.
+	 * @param vmId the VM
+	 */
+	public void stopDaemon(String vmId) {
+		Optional.ofNullable(this.daemons.remove(vmId)).ifPresent(Daemon::close);
+	}
+
+	/**
+	 * Returns the ticket that sets up the planned teams, keys and engines.
+	 * @return ticket 1
+	 */
+	public Ticket firstTicket() {
+		List<TicketChange> changes = new ArrayList<>();
+		this.plan.teams().forEach((team) -> changes.add(TicketChange.set(team)));
+		this.plan.keys()
+			.forEach((key, team) -> changes.add(TicketChange
+				.set(new ApiKey("key-" + Hashes.sha256(key).substring(0, 8), Hashes.sha256(key), team))));
+		this.plan.engines().forEach((engine) -> changes.add(TicketChange.set(engine.node(engine(engine.id()).url()))));
+		return new Ticket(1, "local", changes);
+	}
+
+	/**
+	 * Returns the platform.
+	 * @return the stand-in
+	 */
+	public PlatformStandIn platform() {
+		return this.platform;
+	}
+
+	/**
+	 * Returns an engine.
+	 * @param id the engine
+	 * @return the stand-in
+	 */
+	public EngineStandIn engine(String id) {
+		return Optional.ofNullable(this.engines.get(id))
+			.orElseThrow(() -> new IllegalArgumentException("engine %s is not planned".formatted(id)));
+	}
+
+	/**
+	 * Returns a running daemon.
+	 * @param vmId the VM
+	 * @return the daemon
+	 */
+	public Daemon daemon(String vmId) {
+		return Optional.ofNullable(this.daemons.get(vmId))
+			.orElseThrow(() -> new IllegalArgumentException("VM %s does not run".formatted(vmId)));
+	}
+
+	/**
+	 * Returns the VMs whose daemons run.
+	 * @return the VMs in planned order
+	 */
+	public List<String> vmIds() {
+		return List.copyOf(this.daemons.keySet());
+	}
+
+	/**
+	 * Returns the base URL for callers of a VM.
+	 * @param vmId the VM
+	 * @return the URL without a trailing slash
+	 */
+	public String callerUrl(String vmId) {
+		return "http://" + LOOPBACK + ":" + daemon(vmId).callerPort();
+	}
+
+	/**
+	 * Returns the base URL for operators of a VM.
+	 * @param vmId the VM
+	 * @return the URL without a trailing slash
+	 */
+	public String operatorUrl(String vmId) {
+		return "http://" + LOOPBACK + ":" + daemon(vmId).operatorPort();
+	}
+
+	@Override
+	public void close() {
+		this.daemons.values().forEach(Daemon::close);
+		this.engines.values().forEach(EngineStandIn::close);
+		this.platform.close();
+	}
+
+}
--- /dev/null
+++ b/daemon/src/main/java/org/skylarkstack/daemon/DaemonModule.java
@@ -0,0 +1,103 @@
+package org.skylarkstack.daemon;
+
+import java.security.SecureRandom;
+import java.time.Duration;
+
+import dagger.Module;
+import dagger.Provides;
+import jakarta.inject.Singleton;
+import okhttp3.OkHttpClient;
+import org.skylarkstack.configuration.ConfigurationHolder;
+import org.skylarkstack.configuration.TicketLog;
+import org.skylarkstack.engine.EngineClient;
+import org.skylarkstack.engine.HttpEngineClient;
+import org.skylarkstack.http.Authenticator;
+import org.skylarkstack.http.CallerApi;
+import org.skylarkstack.http.OperatorApi;
+import org.skylarkstack.limit.LocalTeamLimiter;
+import org.skylarkstack.limit.TeamLimiter;
+import org.skylarkstack.misc.TimeSource;
+import org.skylarkstack.request.RequestPipeline;
+import org.skylarkstack.schedule.LocalPlacer;
+import org.skylarkstack.schedule.Placer;
+import org.skylarkstack.settings.DaemonSettings;
+import org.skylarkstack.store.DynamoTableStore;
+import org.skylarkstack.store.TableStore;
+
+/**
+ * Provides the parts of a daemon.
+ */
+@Module
+final class DaemonModule {
+
+	private DaemonModule() {
+	}
+
+	@Provides
+	@Singleton
+	static ConfigurationHolder configuration() {
+		return new ConfigurationHolder();
+	}
+
+	@Provides
+	@Singleton
+	static TableStore tableStore(DaemonSettings settings) {
+		return new DynamoTableStore(settings.platform());
+	}
+
+	@Provides
+	@Singleton
+	static TicketLog tickets(TableStore store, ConfigurationHolder configuration) {
+		return new TicketLog(store, configuration);
+	}
+
+	@Provides
+	@Singleton
+	static TeamLimiter limiter(DaemonSettings settings) {
+		return new LocalTeamLimiter(1.0 / settings.slotCount());
+	}
+
+	@Provides
+	@Singleton
+	static Placer placer(ConfigurationHolder configuration) {
+		return new LocalPlacer(configuration);
+	}
+
+	@Provides
+	@Singleton
+	static EngineClient engines(DaemonSettings settings) {
+		OkHttpClient base = new OkHttpClient.Builder().retryOnConnectionFailure(false)
+			.connectTimeout(Duration.ofMillis(settings.backendTimeouts().connectMillis()))
+			.build();
+		return new HttpEngineClient(base, settings.backendTimeouts());
+	}
+
+	@Provides
+	@Singleton
+	static RequestPipeline pipeline(DaemonSettings settings, ConfigurationHolder configuration, TeamLimiter limiter,
+			Placer placer, EngineClient engines) {
+		return new RequestPipeline(settings.vmId(), new SecureRandom().nextLong(), configuration, limiter, placer,
+				engines, TimeSource.system());
+	}
+
+	@Provides
+	@Singleton
+	static Authenticator authenticator(ConfigurationHolder configuration) {
+		return new Authenticator(configuration);
+	}
+
+	@Provides
+	@Singleton
+	static CallerApi callerApi(ConfigurationHolder configuration, Authenticator authenticator,
+			RequestPipeline pipeline) {
+		return new CallerApi(configuration, authenticator, pipeline);
+	}
+
+	@Provides
+	@Singleton
+	static OperatorApi operatorApi(DaemonSettings settings, Authenticator authenticator, TicketLog tickets,
+			ConfigurationHolder configuration) {
+		return new OperatorApi(authenticator, tickets, configuration, settings.operatorKeyHash());
+	}
+
+}
--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/configuration/ConfigurationHolder.java
@@ -0,0 +1,45 @@
+package org.skylarkstack.configuration;
+
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
+
+/**
+ * Holds the configuration in force in this process.
+ */
+public final class ConfigurationHolder {
+
+	private final List<Consumer<Configuration>> listeners = new CopyOnWriteArrayList<>();
+
+	private volatile Configuration current = Configuration.EMPTY;
+
+	/**
+	 * Returns the configuration in force.
+	 * @return the configuration
+	 */
+	public Configuration current() {
+		return this.current;
+	}
+
+	/**
+	 * Replaces the configuration and tells the listeners.
+	 * @param change computes the new configuration from the old one; must merge only
+	 */
+	public synchronized void update(UnaryOperator<Configuration> change) {
+		Configuration next = change.apply(this.current);
+		if (next != this.current) {
+			this.current = next;
+			this.listeners.forEach((listener) -> listener.accept(next));
+		}
+	}
+
+	/**
+	 * Adds a listener that is called after each change, on the changing thread.
+	 * @param listener the listener
+	 */
+	public void onChange(Consumer<Configuration> listener) {
+		this.listeners.add(listener);
+	}
+
+}
--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/configuration/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Configuration objects, tickets and the merged configuration.
+ */
+@NullMarked
+package org.skylarkstack.configuration;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/http/ErrorAnswer.java
@@ -0,0 +1,43 @@
+package org.skylarkstack.http;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.javalin.http.Context;
+import org.skylarkstack.kernel.RouterException;
+
+/**
+ * Error answers in the caller API's JSON shape.
+ */
+final class ErrorAnswer {
+
+	/** Header that says whether the request may have run. */
+	static final String VERDICT = "X-Skylark-Verdict";
+
+	private static final long MILLIS_PER_SECOND = 1_000;
+
+	private ErrorAnswer() {
+	}
+
+	static ObjectNode json(RouterException failure) {
+		ObjectNode answer = JsonNodeFactory.instance.objectNode();
+		answer.putObject("error")
+			.put("message", failure.getMessage())
+			.put("type", failure.type().apiType())
+			.put("code", failure.type().code())
+			.put("name", failure.type().name())
+			.put("verdict", failure.verdict().headerValue());
+		return answer;
+	}
+
+	static void write(Context context, RouterException failure) {
+		context.status(failure.type().httpStatus());
+		context.header(VERDICT, failure.verdict().headerValue());
+		java.time.Duration retryAfter = failure.retryAfter();
+		if (retryAfter != null) {
+			long seconds = (retryAfter.toMillis() + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND;
+			context.header("Retry-After", Long.toString(Math.max(1, seconds)));
+		}
+		context.contentType("application/json").result(json(failure).toString());
+	}
+
+}
--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/http/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * HTTP surfaces for callers and operators.
+ */
+@NullMarked
+package org.skylarkstack.http;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/kernel/Duty.java
@@ -0,0 +1,140 @@
+package org.skylarkstack.kernel;
+
+import java.time.Duration;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.Consumer;
+
+import org.jctools.queues.MpscArrayQueue;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * One named thread that handles the messages of a bounded ring and runs a periodic step.
+ * All state of a duty is touched by its thread alone.
+ *
+ * @param <M> the message type
+ */
+public final class Duty<M> implements AutoCloseable {
+
+	private static final Logger LOG = LoggerFactory.getLogger(Duty.class);
+
+	private static final int BATCH_MESSAGES = 256;
+
+	private static final long JOIN_MILLIS = 2_000;
+
+	private final MpscArrayQueue<M> ring;
+
+	private final Consumer<M> handler;
+
+	private final Runnable step;
+
+	private final long stepNanos;
+
+	private final Thread thread;
+
+	private final AtomicLong dropped = new AtomicLong();
+
+	private volatile boolean stopping;
+
+	private volatile boolean parked;
+
+	/**
+	 * Creates a duty; {@link #start()} starts its thread.
+	 * @param name the thread name
+	 * @param capacity the ring's capacity in messages
+	 * @param stepPeriod the time between two periodic steps
+	 * @param handler handles one message
+	 * @param step the periodic step
+	 */
+	public Duty(String name, int capacity, Duration stepPeriod, Consumer<M> handler, Runnable step) {
+		this.ring = new MpscArrayQueue<>(capacity);
+		this.handler = handler;
+		this.step = step;
+		this.stepNanos = stepPeriod.toNanos();
+		this.thread = new Thread(this::run, name);
+		this.thread.setDaemon(true);
+	}
+
+	/** Starts the thread. */
+	public void start() {
+		this.thread.start();
+	}
+
+	/**
+	 * Hands a message to the duty without blocking.
+	 * @param message the message
+	 * @return whether there was room; a refused message is counted as dropped
+	 */
+	public boolean offer(M message) {
+		if (!this.ring.offer(message)) {
+			this.dropped.incrementAndGet();
+			return false;
+		}
+		if (this.parked) {
+			LockSupport.unpark(this.thread);
+		}
+		return true;
+	}
+
+	/**
+	 * Returns how many messages found the ring full.
+	 * @return the count since start
+	 */
+	public long dropped() {
+		return this.dropped.get();
+	}
+
+	private void run() {
+		long nextStep = System.nanoTime();
+		while (!this.stopping) {
+			int handled = this.ring.drain(this::handleSafely, BATCH_MESSAGES);
+			long now = System.nanoTime();
+			if (now - nextStep >= 0) {
+				runSafely(this.step);
+				nextStep = now + this.stepNanos;
+			}
+			if (handled == 0) {
+				park(nextStep - now);
+			}
+		}
+	}
+
+	private void park(long nanos) {
+		this.parked = true;
+		if (this.ring.isEmpty() && !this.stopping && nanos > 0) {
+			LockSupport.parkNanos(this, nanos);
+		}
+		this.parked = false;
+	}
+
+	private void handleSafely(M message) {
+		runSafely(() -> this.handler.accept(message));
+	}
+
+	private void runSafely(Runnable action) {
+		try {
+			action.run();
+		}
+		catch (RuntimeException ex) {
+			LOG.atError()
+				.addKeyValue("event", "duty_failed")
+				.addKeyValue("duty", this.thread.getName())
+				.setCause(ex)
+				.log();
+		}
+	}
+
+	@Override
+	public void close() {
+		this.stopping = true;
+		LockSupport.unpark(this.thread);
+		try {
+			this.thread.join(JOIN_MILLIS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+}
--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/kernel/ErrorType.java
@@ -0,0 +1,161 @@
+package org.skylarkstack.kernel;
+
+/**
+ * Numbered errors that callers and operators see. Numbers are stable and never reused.
+ */
+public enum ErrorType {
+
+	/** The request is malformed. */
+	BAD_REQUEST(1001, 400, "invalid_request_error", Verdict.NOT_RUN, "%s"),
+
+	/** No key, or a key that is unknown or withdrawn. */
+	UNAUTHENTICATED(1002, 401, "authentication_error", Verdict.NOT_RUN, "the API key is missing, unknown or withdrawn"),
+
+	/** No route matches. */
+	NO_ROUTE(1003, 404, "not_found_error", Verdict.NOT_RUN, "no route for %s %s"),
+
+	/** The model is not configured. */
+	UNKNOWN_MODEL(1004, 404, "not_found_error", Verdict.NOT_RUN, "model %s is not configured"),
+
+	/** The body exceeds its bound. */
+	BODY_TOO_LARGE(1005, 413, "invalid_request_error", Verdict.NOT_RUN, "the request body exceeds %s bytes"),
+
+	/** The body did not arrive in time. */
+	SLOW_SENDER(1006, 408, "invalid_request_error", Verdict.NOT_RUN, "the request body did not arrive within %s ms"),
+
+	/** The team has no tokens left. */
+	RATE_LIMITED(1101, 429, "rate_limit_error", Verdict.NOT_RUN, "team %s is over its token rate"),
+
+	/** The daemon has too many open requests. */
+	TOO_MANY_REQUESTS(1102, 503, "overloaded_error", Verdict.NOT_RUN, "too many open requests"),
+
+	/** The request cannot meet its deadline. */
+	DEADLINE_UNREACHABLE(1103, 503, "overloaded_error", Verdict.NOT_RUN,
+			"the first token cannot be produced within %s ms"),
+
+	/** The queue of the team or of the model is full. */
+	QUEUE_FULL(1104, 503, "overloaded_error", Verdict.NOT_RUN, "the queue of team %s is full"),
+
+	/** No engine can take the request. */
+	NO_ENGINE(1105, 503, "overloaded_error", Verdict.NOT_RUN, "no engine is available for model %s"),
+
+	/** The key state is older than the team allows. */
+	STALE_KEY_STATE(1106, 503, "overloaded_error", Verdict.NOT_RUN, "key state is older than team %s allows"),
+
+	/** The daemon is shutting down or not ready. */
+	NOT_READY(1107, 503, "overloaded_error", Verdict.NOT_RUN, "this VM is not ready"),
+
+	/** A keyed non-idempotent request cannot be claimed while the store is down. */
+	CLAIM_UNAVAILABLE(1201, 503, "overloaded_error", Verdict.NOT_RUN,
+			"the idempotency key cannot be claimed while the store is unavailable"),
+
+	/**
+	 * Another request with the same idempotency key is under way or its outcome is
+	 * unknown.
+	 */
+	CLAIM_IN_PROGRESS(1202, 409, "conflict_error", Verdict.MAY_HAVE_RUN,
+			"a request with this idempotency key is under way or its outcome is unknown"),
+
+	/** The idempotency key was used for another request. */
+	CLAIM_MISMATCH(1203, 422, "invalid_request_error", Verdict.NOT_RUN,
+			"the idempotency key was used with a different request"),
+
+	/** The request ran, but its answer was not kept. */
+	ANSWER_NOT_KEPT(1204, 409, "conflict_error", Verdict.RAN, "the request ran and its answer is no longer available"),
+
+	/** The request crashed backend servers. */
+	CRASH_SUSPECT(1301, 503, "overloaded_error", Verdict.MAY_HAVE_RUN,
+			"the request is refused because %s backend servers failed while running it"),
+
+	/** The backend server failed. */
+	BACKEND_FAILED(1302, 502, "api_error", Verdict.MAY_HAVE_RUN, "backend server %s failed: %s"),
+
+	/** The backend server could not be reached. */
+	BACKEND_UNREACHABLE(1303, 502, "api_error", Verdict.NOT_RUN, "backend server %s could not be reached"),
+
+	/** The backend server went silent. */
+	BACKEND_TIMEOUT(1304, 504, "api_error", Verdict.MAY_HAVE_RUN, "backend server %s sent nothing for %s ms"),
+
+	/** The key was withdrawn while the answer was under way. */
+	KEY_WITHDRAWN(1305, 401, "authentication_error", Verdict.MAY_HAVE_RUN,
+			"the API key was withdrawn while the answer was under way"),
+
+	/** The ticket conflicts with another ticket. */
+	TICKET_CONFLICT(2001, 409, "conflict_error", Verdict.NOT_RUN, "ticket %s conflicts: %s"),
+
+	/** The ticket is not valid. */
+	TICKET_INVALID(2002, 422, "invalid_request_error", Verdict.NOT_RUN, "ticket %s is not valid: %s"),
+
+	/** The effect of the ticket is not known yet. */
+	TICKET_UNKNOWN(2003, 503, "api_error", Verdict.MAY_HAVE_RUN,
+			"the store did not confirm ticket %s; send the same ticket again"),
+
+	/** The store is unavailable. */
+	STORE_UNAVAILABLE(2004, 503, "api_error", Verdict.NOT_RUN, "the store is unavailable"),
+
+	/** A settings file is not valid. */
+	SETTINGS_INVALID(3001, 500, "api_error", Verdict.NOT_RUN, "settings are not valid: %s"),
+
+	/** A fault in this program. */
+	INTERNAL(9001, 500, "api_error", Verdict.MAY_HAVE_RUN, "internal error");
+
+	private final int code;
+
+	private final int httpStatus;
+
+	private final String apiType;
+
+	private final Verdict verdict;
+
+	private final String template;
+
+	ErrorType(int code, int httpStatus, String apiType, Verdict verdict, String template) {
+		this.code = code;
+		this.httpStatus = httpStatus;
+		this.apiType = apiType;
+		this.verdict = verdict;
+		this.template = template;
+	}
+
+	/**
+	 * Returns the stable number of this error.
+	 * @return the number
+	 */
+	public int code() {
+		return this.code;
+	}
+
+	/**
+	 * Returns the HTTP status of answers with this error.
+	 * @return the status
+	 */
+	public int httpStatus() {
+		return this.httpStatus;
+	}
+
+	/**
+	 * Returns the error type in the caller's API.
+	 * @return the type string
+	 */
+	public String apiType() {
+		return this.apiType;
+	}
+
+	/**
+	 * Returns the verdict that applies unless an exception states another.
+	 * @return the default verdict
+	 */
+	public Verdict verdict() {
+		return this.verdict;
+	}
+
+	/**
+	 * Formats the message.
+	 * @param arguments the values of the template
+	 * @return the message
+	 */
+	public String message(Object... arguments) {
+		return this.template.formatted(arguments);
+	}
+
+}
--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/kernel/PluginRegistry.java
@@ -0,0 +1,66 @@
+package org.skylarkstack.kernel;
+
+import java.util.Map;
+import java.util.ServiceLoader;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.Supplier;
+
+/**
+ * Registry of plug-in parts by kind and name. It is filled once at start-up.
+ */
+public final class PluginRegistry {
+
+	private final Map<Class<?>, Map<String, Supplier<?>>> parts = new java.util.HashMap<>();
+
+	/**
+	 * Loads all plug-ins on the class path.
+	 * @return the filled registry
+	 */
+	public static PluginRegistry load() {
+		PluginRegistry registry = new PluginRegistry();
+		ServiceLoader.load(Plugin.class).forEach((plugin) -> plugin.register(registry));
+		return registry;
+	}
+
+	/**
+	 * Adds a part.
+	 * @param kind the interface that the part implements
+	 * @param name the name, unique within the kind
+	 * @param factory creates the part
+	 * @param <T> the kind
+	 */
+	public <T> void add(Class<T> kind, String name, Supplier<? extends T> factory) {
+		Supplier<?> former = this.parts.computeIfAbsent(kind, (key) -> new TreeMap<>()).putIfAbsent(name, factory);
+		if (former != null) {
+			throw new IllegalStateException("%s %s is registered twice".formatted(kind.getSimpleName(), name));
+		}
+	}
+
+	/**
+	 * Creates a part.
+	 * @param kind the interface that the part implements
+	 * @param name the name of the part
+	 * @param <T> the kind
+	 * @return a new part
+	 */
+	public <T> T create(Class<T> kind, String name) {
+		Supplier<?> factory = this.parts.getOrDefault(kind, Map.of()).get(name);
+		if (factory == null) {
+			throw new IllegalArgumentException(
+					"%s %s is not registered; known: %s".formatted(kind.getSimpleName(), name, names(kind)));
+		}
+		return kind.cast(factory.get());
+	}
+
+	/**
+	 * Returns the names registered for a kind, in order.
+	 * @param kind the kind
+	 * @return the names
+	 */
+	public Set<String> names(Class<?> kind) {
+		return new TreeSet<>(this.parts.getOrDefault(kind, Map.of()).keySet());
+	}
+
+}
--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/kernel/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Kernel: verdicts, errors, plug-in registration and duties.
+ */
+@NullMarked
+package org.skylarkstack.kernel;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/limit/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Fleet-wide token limits of teams.
+ */
+@NullMarked
+package org.skylarkstack.limit;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/membership/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Which daemons are alive, and where.
+ */
+@NullMarked
+package org.skylarkstack.membership;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/misc/Hashes.java
@@ -0,0 +1,64 @@
+package org.skylarkstack.misc;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Collection;
+
+import com.google.common.hash.Hashing;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Hash functions shared by several modules.
+ */
+public final class Hashes {
+
+	private Hashes() {
+	}
+
+	/**
+	 * Returns the SHA-256 hash of a text as lower-case hexadecimal.
+	 * @param text the text, hashed as UTF-8
+	 * @return 64 hexadecimal digits
+	 */
+	public static String sha256(String text) {
+		return Hashing.sha256().hashString(text, StandardCharsets.UTF_8).toString();
+	}
+
+	/**
+	 * Returns the SHA-256 hash of bytes as lower-case hexadecimal.
+	 * @param bytes the bytes to hash
+	 * @return 64 hexadecimal digits
+	 */
+	public static String sha256(byte[] bytes) {
+		return Hashing.sha256().hashBytes(bytes).toString();
+	}
+
+	/**
+	 * Returns a stable 64-bit hash of a text that is not meant to resist attackers.
+	 * @param text the text, hashed as UTF-8
+	 * @return the hash
+	 */
+	public static long stable64(String text) {
+		return Hashing.murmur3_128().hashString(text, StandardCharsets.UTF_8).asLong();
+	}
+
+	/**
+	 * Picks the candidate with the highest rendezvous score for a key. Removing one
+	 * candidate moves only the keys that it held.
+	 * @param key the key to place
+	 * @param candidates the candidate names
+	 * @return the chosen candidate, or {@code null} if there is none
+	 */
+	public static @Nullable String rendezvous(String key, Collection<String> candidates) {
+		String best = null;
+		long bestScore = Long.MIN_VALUE;
+		for (String candidate : candidates) {
+			long score = stable64(candidate + '\n' + key);
+			if (best == null || score > bestScore || (score == bestScore && candidate.compareTo(best) < 0)) {
+				best = candidate;
+				bestScore = score;
+			}
+		}
+		return best;
+	}
+
+}
--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/peer/PeerTransport.java
@@ -0,0 +1,28 @@
+package org.skylarkstack.peer;
+
+import java.util.function.BiConsumer;
+
+/**
+ * Sends messages to other daemons. Delivery is not guaranteed, and messages may arrive
+ * late; each pair of daemons keeps their order on one connection.
+ */
+public interface PeerTransport {
+
+	/**
+	 * Sends a message without blocking.
+	 * @param vmId the receiving VM
+	 * @param message the message
+	 * @return whether the message was queued; {@code false} if it was dropped at once
+	 */
+	boolean send(String vmId, PeerMessage message);
+
+	/**
+	 * Sets the handler for a message type. It is called with the sending VM and the
+	 * message on a transport thread and must not block.
+	 * @param type the message type
+	 * @param handler the handler
+	 * @param <M> the message type
+	 */
+	<M extends PeerMessage> void handle(Class<M> type, BiConsumer<String, M> handler);
+
+}
--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/request/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Request path from admission to settlement.
+ */
+@NullMarked
+package org.skylarkstack.request;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/schedule/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Placement of requests on engines, admission and fairness.
+ */
+@NullMarked
+package org.skylarkstack.schedule;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/store/ObjectStore.java
@@ -0,0 +1,26 @@
+package org.skylarkstack.store;
+
+import java.util.Optional;
+
+/**
+ * Platform's object store.
+ */
+public interface ObjectStore {
+
+	/**
+	 * Reads an object.
+	 * @param key the key
+	 * @return the bytes, if the object exists
+	 * @throws StoreException if the store does not answer
+	 */
+	Optional<byte[]> get(String key);
+
+	/**
+	 * Writes an object.
+	 * @param key the key
+	 * @param bytes the bytes
+	 * @throws StoreException if the store does not answer
+	 */
+	void put(String key, byte[] bytes);
+
+}
--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/store/TableStore.java
@@ -0,0 +1,39 @@
+package org.skylarkstack.store;
+
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Platform's transactional table service. All calls block up to the configured bound.
+ */
+public interface TableStore {
+
+	/**
+	 * Reads a row with strong consistency.
+	 * @param partition the partition key
+	 * @param sort the sort key
+	 * @return the row, if it exists
+	 * @throws StoreException if the store does not answer
+	 */
+	Optional<Row> get(String partition, String sort);
+
+	/**
+	 * Reads rows of a partition in the order of their sort keys, with strong consistency.
+	 * @param partition the partition key
+	 * @param afterSort only rows with a greater sort key are returned
+	 * @param limit the largest number of rows
+	 * @return the rows
+	 * @throws StoreException if the store does not answer
+	 */
+	List<Row> query(String partition, String afterSort, int limit);
+
+	/**
+	 * Applies all writes or none.
+	 * @param writes the writes
+	 * @return whether all conditions held and the writes were applied
+	 * @throws StoreException if the store does not answer; its effect says whether the
+	 * writes may have been applied
+	 */
+	boolean write(List<RowWrite> writes);
+
+}
--- /dev/null
+++ b/standin/src/main/java/org/skylarkstack/standin/PlatformFaults.java
@@ -0,0 +1,94 @@
+package org.skylarkstack.standin;
+
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * Fault switches and operation counters of the platform stand-in.
+ */
+public final class PlatformFaults {
+
+	private final Set<String> cutOff = ConcurrentHashMap.newKeySet();
+
+	private final AtomicInteger repliesToLose = new AtomicInteger();
+
+	private final Map<String, AtomicLong> operations = new ConcurrentHashMap<>();
+
+	private volatile boolean down;
+
+	private volatile int delayMillis;
+
+	/**
+	 * Takes the platform down or brings it back.
+	 * @param down whether it is down
+	 */
+	public void down(boolean down) {
+		this.down = down;
+	}
+
+	/**
+	 * Delays each operation.
+	 * @param millis the delay in milliseconds
+	 */
+	public void delayMillis(int millis) {
+		this.delayMillis = millis;
+	}
+
+	/**
+	 * Cuts a data centre off from the platform, or connects it again.
+	 * @param dataCentre the data centre
+	 * @param isCutOff whether it is cut off
+	 */
+	public void cutOff(String dataCentre, boolean isCutOff) {
+		if (isCutOff) {
+			this.cutOff.add(dataCentre);
+		}
+		else {
+			this.cutOff.remove(dataCentre);
+		}
+	}
+
+	/**
+	 * Loses the replies of the next writes after they took effect.
+	 * @param count the number of replies
+	 */
+	public void loseReplies(int count) {
+		this.repliesToLose.set(count);
+	}
+
+	/**
+	 * Returns how often an operation was asked for.
+	 * @param operation the name in the API, such as {@code GetItem}
+	 * @return the count
+	 */
+	public long count(String operation) {
+		AtomicLong counter = this.operations.get(operation);
+		return (counter != null) ? counter.get() : 0;
+	}
+
+	boolean admit(String dataCentre, String operation) {
+		this.operations.computeIfAbsent(operation, (key) -> new AtomicLong()).incrementAndGet();
+		sleep(this.delayMillis);
+		return !this.down && !this.cutOff.contains(dataCentre);
+	}
+
+	boolean losesReply(String operation) {
+		return "TransactWriteItems".equals(operation)
+				&& this.repliesToLose.getAndUpdate((count) -> Math.max(0, count - 1)) > 0;
+	}
+
+	private static void sleep(int millis) {
+		if (millis > 0) {
+			try {
+				Thread.sleep(millis);
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+			}
+		}
+	}
+
+}
--- /dev/null
+++ b/standin/src/main/java/org/skylarkstack/standin/PlatformStandIn.java
@@ -0,0 +1,144 @@
+package org.skylarkstack.standin;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.javalin.config.JavalinConfig;
+import io.javalin.http.Context;
+
+/**
+ * Stand-in for the platform: a table service with the DynamoDB API, an object store with
+ * the S3 API and a list of VMs. Each caller uses its own path prefix, so that faults can
+ * be limited to one data centre.
+ */
+public final class PlatformStandIn implements AutoCloseable {
+
+	private static final String JSON = "application/x-amz-json-1.0";
+
+	private final ObjectMapper mapper = new ObjectMapper();
+
+	private final StandInTable table = new StandInTable();
+
+	private final Map<String, byte[]> objects = new ConcurrentHashMap<>();
+
+	private final List<String> vmList = new CopyOnWriteArrayList<>();
+
+	private final PlatformFaults faults = new PlatformFaults();
+
+	private final HttpStandIn server;
+
+	/**
+	 * Starts a platform.
+	 * @param port the port on loopback, or 0 for a free one
+	 */
+	public PlatformStandIn(int port) {
+		this.server = new HttpStandIn(port, this::register);
+	}
+
+	private void register(JavalinConfig config) {
+		config.routes.post("/{zone}/table", this::table);
+		config.routes.put("/{zone}/objects/<key>", this::putObject);
+		config.routes.get("/{zone}/objects/<key>", this::object);
+		config.routes.get("/{zone}/vms", (context) -> context.json(this.vmList));
+	}
+
+	/**
+	 * Returns the base URL for a data centre.
+	 * @param dataCentre the data centre
+	 * @return the URL without a trailing slash
+	 */
+	public String url(String dataCentre) {
+		return this.server.url() + "/" + dataCentre;
+	}
+
+	/**
+	 * Returns the fault switches and counters.
+	 * @return the faults
+	 */
+	public PlatformFaults faults() {
+		return this.faults;
+	}
+
+	/**
+	 * Returns the list of VMs, which may be changed.
+	 * @return the list
+	 */
+	public List<String> vmList() {
+		return this.vmList;
+	}
+
+	private void table(Context context) throws IOException {
+		String target = Optional.ofNullable(context.header("X-Amz-Target")).orElse("");
+		String operation = target.substring(target.indexOf('.') + 1);
+		if (!this.faults.admit(context.pathParam("zone"), operation)) {
+			context.status(500).contentType(JSON).result("{\"__type\":\"InternalServerError\"}");
+			return;
+		}
+		JsonNode request = this.mapper.readTree(context.bodyAsBytes());
+		ObjectNode answer = switch (operation) {
+			case "GetItem" -> get(request);
+			case "Query" -> query(request);
+			case "TransactWriteItems" -> this.table.transact(request.path("TransactItems"));
+			default -> this.mapper.createObjectNode().put("__type", "UnknownOperationException");
+		};
+		if (this.faults.losesReply(operation)) {
+			context.status(500).contentType(JSON).result("{\"__type\":\"InternalServerError\"}");
+			return;
+		}
+		context.status(answer.has("__type") ? 400 : 200).contentType(JSON).result(answer.toString());
+	}
+
+	private ObjectNode get(JsonNode request) {
+		ObjectNode answer = this.mapper.createObjectNode();
+		this.table.get(StandInTable.keyOf(request.path("Key"))).ifPresent((item) -> answer.set("Item", item));
+		return answer;
+	}
+
+	private ObjectNode query(JsonNode request) {
+		JsonNode values = request.path("ExpressionAttributeValues");
+		ObjectNode answer = this.mapper.createObjectNode();
+		ArrayNode items = answer.putArray("Items");
+		this.table
+			.query(values.path(":pk").path("S").asText(), values.path(":sk").path("S").asText(),
+					request.path("Limit").asInt(Integer.MAX_VALUE))
+			.forEach(items::add);
+		answer.put("Count", items.size());
+		return answer;
+	}
+
+	private void putObject(Context context) {
+		if (!this.faults.admit(context.pathParam("zone"), "PutObject")) {
+			context.status(503);
+			return;
+		}
+		this.objects.put(context.pathParam("key"), context.bodyAsBytes());
+		context.status(200);
+	}
+
+	private void object(Context context) {
+		byte[] bytes = this.objects.get(context.pathParam("key"));
+		if (!this.faults.admit(context.pathParam("zone"), "GetObject")) {
+			context.status(503);
+		}
+		else if (bytes == null) {
+			context.status(404).contentType("application/xml").result("<Error><Code>NoSuchKey</Code></Error>");
+		}
+		else {
+			context.result(bytes);
+		}
+	}
+
+	@Override
+	public void close() {
+		this.server.close();
+	}
+
+}
