--- a/runtime/src/main/java/org/skylarkstack/peer/PeerTransport.java
+++ b/runtime/src/main/java/org/skylarkstack/peer/PeerTransport.java
@@ -9,7 +9,7 @@
 public interface PeerTransport {
 
 	/**
-	 * Sends a message without blocking.
+	 * Sends a message without blocking. A message to this VM itself is delivered locally.
 	 * @param vmId the receiving VM
 	 * @param message the message
 	 * @return whether the message was queued; {@code false} if it was dropped at once
--- /dev/null
+++ b/runtime/src/test/java/org/skylarkstack/peer/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Tests and fakes of the peer transport.
+ */
+@NullMarked
+package org.skylarkstack.peer;
+
+import org.jspecify.annotations.NullMarked;
