--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/metrics/TeamLabels.java
@@ -0,0 +1,37 @@
+package org.skylarkstack.metrics;
+
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * Bounded set of team labels. The first teams seen get a label of their own; all others
+ * share one, so that tens of thousands of teams do not become time series.
+ */
+final class TeamLabels {
+
+	static final String OTHER = "other";
+
+	private final int maxTeams;
+
+	private final Set<String> teams = ConcurrentHashMap.newKeySet();
+
+	TeamLabels(int maxTeams) {
+		this.maxTeams = maxTeams;
+	}
+
+	String label(String teamId) {
+		if (this.teams.contains(teamId)) {
+			return teamId;
+		}
+		if (this.teams.size() >= this.maxTeams) {
+			return OTHER;
+		}
+		synchronized (this) {
+			if (this.teams.size() < this.maxTeams) {
+				this.teams.add(teamId);
+			}
+		}
+		return this.teams.contains(teamId) ? teamId : OTHER;
+	}
+
+}
--- /dev/null
+++ b/runtime/src/test/java/org/skylarkstack/settings/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Tests of the settings.
+ */
+@NullMarked
+package org.skylarkstack.settings;
+
+import org.jspecify.annotations.NullMarked;
