--- /dev/null
+++ b/runtime/src/test/java/org/skylarkstack/kernel/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Tests of the kernel.
+ */
+@NullMarked
+package org.skylarkstack.kernel;
+
+import org.jspecify.annotations.NullMarked;
