Add the peer transport over TCP and membership by heartbeats

Cause: daemons could not talk to each other, so no limit, ticket or placement could span VMs. Change: message codec (MessagePack, records as arrays), frames sealed with HMAC-SHA256 under keys of one connection and one direction with rising sequence numbers, transport on one selector thread with bounded rings, probes that replace silent connections, backoff with jitter, inbound rate bound, counters and link cuts for tests; membership table, heartbeat service, the platform's list, hooks for applied ticket numbers and loans. Conclusion: transport and membership can be used by other packages; the daemon does not start them yet.

--- a/runtime/src/main/java/org/skylarkstack/membership/Membership.java
+++ b/runtime/src/main/java/org/skylarkstack/membership/Membership.java
@@ -17,4 +17,13 @@
 	 */
 	long incarnation();
 
+	/**
+	 * Returns whether an incarnation of a VM is dead: removed from membership, or
+	 * replaced by a new incarnation of the same VM.
+	 * @param vmId the VM
+	 * @param incarnation the incarnation
+	 * @return whether it is dead; {@code false} if it is not known
+	 */
+	boolean isDead(String vmId, long incarnation);
+
 }
--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/peer/OutgoingLink.java
@@ -0,0 +1,280 @@
+package org.skylarkstack.peer;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.nio.channels.SocketChannel;
+import java.security.SecureRandom;
+import java.util.random.RandomGenerator;
+
+import org.jctools.queues.MpscArrayQueue;
+import org.jspecify.annotations.Nullable;
+import org.skylarkstack.settings.ListenAddress;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Outgoing connection to one peer. All methods but {@link #offer(PeerMessage)} run on the
+ * transport thread.
+ *
+ * <p>
+ * The connection is probed: an empty frame is sent each probe period and acknowledged by
+ * the peer. Without an acknowledgement for the silence timeout the connection is
+ * replaced, because a silent connection accepts writes for minutes before TCP gives up.
+ * Messages that wait for a failed connection are dropped: they would arrive stale.
+ */
+final class OutgoingLink {
+
+	private static final Logger LOG = LoggerFactory.getLogger(OutgoingLink.class);
+
+	private static final int BATCH_BYTES = 64 * 1024;
+
+	private static final byte[] PROBE = new byte[0];
+
+	private final String self;
+
+	private final String peer;
+
+	private final ListenAddress address;
+
+	private final String secret;
+
+	private final PeerCodec codec;
+
+	private final TransportBounds bounds;
+
+	private final TransportStatistics statistics;
+
+	private final RandomGenerator jitter;
+
+	private final MpscArrayQueue<PeerMessage> ring;
+
+	private @Nullable FrameChannel channel;
+
+	private @Nullable SocketChannel socket;
+
+	private @Nullable FrameSeal out;
+
+	private @Nullable FrameSeal acknowledgements;
+
+	private int failures;
+
+	private long retryNanos;
+
+	private long deadlineNanos;
+
+	private long probeNanos;
+
+	private volatile boolean down;
+
+	private volatile boolean blocked;
+
+	OutgoingLink(String self, String peer, ListenAddress address, String secret, PeerCodec codec,
+			TransportBounds bounds, TransportStatistics statistics, RandomGenerator jitter, long nowNanos) {
+		this.self = self;
+		this.peer = peer;
+		this.address = address;
+		this.secret = secret;
+		this.codec = codec;
+		this.bounds = bounds;
+		this.statistics = statistics;
+		this.jitter = jitter;
+		this.ring = new MpscArrayQueue<>(bounds.ringMessages());
+		this.retryNanos = nowNanos;
+	}
+
+	boolean offer(PeerMessage message) {
+		if (this.down || this.blocked || !this.ring.offer(message)) {
+			this.statistics.droppedFull.increment();
+			return false;
+		}
+		return true;
+	}
+
+	void block(boolean isBlocked) {
+		this.blocked = isBlocked;
+	}
+
+	// Connects, probes and gives up as due.
+	void step(Selector selector, long nowNanos) {
+		if (this.socket == null) {
+			if (nowNanos - this.retryNanos >= 0) {
+				connect(selector, nowNanos);
+			}
+			return;
+		}
+		if (nowNanos - this.deadlineNanos >= 0) {
+			if (this.out != null) {
+				this.statistics.replacedSilent.increment();
+			}
+			fail("the peer is silent", nowNanos);
+		}
+		else if (this.out != null && nowNanos - this.probeNanos >= 0) {
+			this.probeNanos = nowNanos + this.bounds.probePeriod().toNanos();
+			send(PROBE, nowNanos);
+		}
+	}
+
+	private void connect(Selector selector, long nowNanos) {
+		this.deadlineNanos = nowNanos + this.bounds.connectTimeout().toNanos();
+		try {
+			SocketChannel opened = SocketChannel.open();
+			this.socket = opened;
+			opened.configureBlocking(false);
+			opened.socket().setTcpNoDelay(true);
+			SelectionKey key = opened.register(selector, SelectionKey.OP_CONNECT, this);
+			this.channel = new FrameChannel(opened, key);
+			if (opened.connect(new InetSocketAddress(this.address.host(), this.address.port()))) {
+				key.interestOps(SelectionKey.OP_READ);
+			}
+		}
+		catch (IOException ex) {
+			fail(String.valueOf(ex.getMessage()), nowNanos);
+		}
+	}
+
+	void ready(SelectionKey key, long nowNanos) {
+		FrameChannel current = this.channel;
+		SocketChannel currentSocket = this.socket;
+		if (current == null || currentSocket == null || key.channel() != currentSocket) {
+			return;
+		}
+		try {
+			if (key.isConnectable()) {
+				currentSocket.finishConnect();
+				key.interestOps(SelectionKey.OP_READ);
+			}
+			if (key.isReadable()) {
+				int bytes = current.read((frame) -> receive(frame, nowNanos));
+				this.statistics.receivedBytes.add(bytes);
+			}
+			if (key.isValid() && key.isWritable()) {
+				current.flush();
+			}
+		}
+		catch (IOException ex) {
+			fail(String.valueOf(ex.getMessage()), nowNanos);
+		}
+	}
+
+	private void receive(byte[] frame, long nowNanos) {
+		FrameSeal seal = this.acknowledgements;
+		if (this.blocked) {
+			return;
+		}
+		if (seal == null) {
+			byte[] nonce = Handshake.acceptorNonce(frame);
+			if (nonce == null) {
+				this.statistics.rejectedFrames.increment();
+				fail("the challenge is malformed", nowNanos);
+				return;
+			}
+			greet(nonce, nowNanos);
+		}
+		else if (seal.open(frame) != null) {
+			this.failures = 0;
+			this.down = false;
+			this.deadlineNanos = nowNanos + this.bounds.silenceTimeout().toNanos();
+		}
+		else {
+			this.statistics.rejectedFrames.increment();
+			fail("an acknowledgement is not authentic", nowNanos);
+		}
+	}
+
+	private void greet(byte[] acceptorNonce, long nowNanos) {
+		FrameChannel current = this.channel;
+		if (current == null) {
+			return;
+		}
+		byte[] nonce = new byte[FrameSeal.NONCE_BYTES];
+		new SecureRandom().nextBytes(nonce);
+		FrameSeal seal = Handshake.out(this.secret, this.self, this.peer, nonce, acceptorNonce);
+		this.acknowledgements = Handshake.acknowledgement(this.secret, this.self, this.peer, nonce, acceptorNonce);
+		try {
+			current.write(Handshake.hello(this.self, nonce, seal));
+			this.out = seal;
+			this.down = false;
+			this.deadlineNanos = nowNanos + this.bounds.silenceTimeout().toNanos();
+			this.probeNanos = nowNanos;
+		}
+		catch (IOException ex) {
+			fail(String.valueOf(ex.getMessage()), nowNanos);
+		}
+	}
+
+	// Hands waiting messages to the socket, as far as it takes them.
+	void drain(long nowNanos) {
+		FrameSeal seal = this.out;
+		FrameChannel current = this.channel;
+		if (this.blocked) {
+			this.ring.clear();
+		}
+		if (seal == null || current == null || !current.isIdle() || this.ring.isEmpty()) {
+			return;
+		}
+		ByteArrayOutputStream batch = new ByteArrayOutputStream();
+		while (batch.size() < BATCH_BYTES) {
+			PeerMessage message = this.ring.poll();
+			if (message == null) {
+				break;
+			}
+			try {
+				batch.writeBytes(seal.seal(this.codec.encode(message)));
+				this.statistics.sentMessages.increment();
+			}
+			catch (IllegalArgumentException ex) {
+				LOG.atError().addKeyValue("event", "message_not_encoded").setCause(ex).log();
+			}
+		}
+		write(current, batch.toByteArray(), nowNanos);
+	}
+
+	private void send(byte[] body, long nowNanos) {
+		if (this.out != null && this.channel != null && !this.blocked) {
+			write(this.channel, this.out.seal(body), nowNanos);
+		}
+	}
+
+	private void write(FrameChannel current, byte[] bytes, long nowNanos) {
+		try {
+			this.statistics.sentBytes.add(bytes.length);
+			current.write(bytes);
+		}
+		catch (IOException ex) {
+			fail(String.valueOf(ex.getMessage()), nowNanos);
+		}
+	}
+
+	private void fail(String reason, long nowNanos) {
+		if (this.failures == 0) {
+			LOG.atInfo()
+				.addKeyValue("event", "peer_link_down")
+				.addKeyValue("vm", this.self)
+				.addKeyValue("peer", this.peer)
+				.addKeyValue("reason", reason)
+				.log();
+		}
+		close();
+		this.ring.clear();
+		long longest = this.bounds.longestBackoff().toNanos();
+		long backoff = Math.min(longest, this.bounds.firstBackoff().toNanos() << Math.min(this.failures, 20));
+		this.failures++;
+		this.retryNanos = nowNanos + backoff / 2 + this.jitter.nextLong(backoff / 2 + 1);
+	}
+
+	void close() {
+		this.down = true;
+		FrameChannel current = this.channel;
+		if (current != null) {
+			current.close();
+		}
+		this.channel = null;
+		this.socket = null;
+		this.out = null;
+		this.acknowledgements = null;
+	}
+
+}
--- /dev/null
+++ b/runtime/src/test/java/org/skylarkstack/membership/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Tests of membership.
+ */
+@NullMarked
+package org.skylarkstack.membership;
+
+import org.jspecify.annotations.NullMarked;
