Model engines with batching, memory, prefix cache and faults

Cause: the engine stand-in slept on a thread for each token and had no memory, queue, prefix cache, load report, held requests or faults, so no test could tell whether a request ran, ran twice or left memory behind.

Change: EngineModel is a pure state machine (time and randomness are arguments); EngineLoop runs it on one thread for each engine; EngineStandIn serves it over HTTP with kv_transfer_params hand-over, resume, held requests, cancel, load gauges, cache events and orders. EngineFaults holds the fault switches, EngineStandIn.runs() counts each prefill and decode by request id. The former constructor still works.

Conclusion: tests can prove "ran once", "not run" and "nothing held".

--- /dev/null
+++ b/standin/src/main/java/org/skylarkstack/standin/EngineLoop.java
@@ -0,0 +1,128 @@
+package org.skylarkstack.standin;
+
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.Condition;
+import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.Function;
+
+/**
+ * Runs an {@link EngineModel} in real time on one thread and hands its events to the
+ * threads that wait for them.
+ */
+final class EngineLoop implements AutoCloseable {
+
+	private final EngineModel model;
+
+	private final ReentrantLock lock = new ReentrantLock();
+
+	private final Condition changed = this.lock.newCondition();
+
+	private final Map<Long, BlockingQueue<EngineEvent>> queues = new ConcurrentHashMap<>();
+
+	private final Thread thread;
+
+	private boolean closed;
+
+	EngineLoop(String name, EngineModel model) {
+		this.model = model;
+		this.thread = new Thread(this::run, name);
+		this.thread.setDaemon(true);
+		this.thread.start();
+	}
+
+	private void run() {
+		this.lock.lock();
+		try {
+			while (!this.closed) {
+				dispatch(this.model.advance(System.nanoTime()));
+				long next = this.model.nextAt();
+				if (next == Long.MAX_VALUE) {
+					this.changed.await();
+				}
+				else {
+					this.changed.awaitNanos(next - System.nanoTime());
+				}
+			}
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+	private void dispatch(List<EngineEvent> events) {
+		for (EngineEvent event : events) {
+			BlockingQueue<EngineEvent> queue = this.queues.get(event.handle());
+			if (queue != null) {
+				queue.add(event);
+			}
+		}
+	}
+
+	/**
+	 * Applies a function to the model.
+	 * @param <T> the result
+	 * @param function the function; it must not block
+	 * @return its result
+	 */
+	<T> T apply(Function<EngineModel, T> function) {
+		this.lock.lock();
+		try {
+			T result = function.apply(this.model);
+			this.changed.signal();
+			return result;
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+	OptionalLong offer(EngineRequest request) {
+		return apply((engine) -> {
+			OptionalLong handle = engine.offer(request, System.nanoTime());
+			handle.ifPresent((number) -> this.queues.put(number, new LinkedBlockingQueue<>()));
+			return handle;
+		});
+	}
+
+	EngineEvent take(long handle) throws InterruptedException {
+		BlockingQueue<EngineEvent> queue = this.queues.get(handle);
+		if (queue == null) {
+			return new EngineEvent(handle, EngineEvent.Type.CANCELLED, 0);
+		}
+		return queue.take();
+	}
+
+	void forget(long handle) {
+		this.queues.remove(handle);
+	}
+
+	/** Stops and wakes all waiting threads. */
+	@Override
+	public void close() {
+		this.lock.lock();
+		try {
+			this.closed = true;
+			this.changed.signalAll();
+		}
+		finally {
+			this.lock.unlock();
+		}
+		this.queues.forEach((handle, queue) -> queue.add(new EngineEvent(handle, EngineEvent.Type.CANCELLED, 0)));
+		try {
+			this.thread.join(TimeUnit.SECONDS.toMillis(1));
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+}
--- /dev/null
+++ b/standin/src/main/java/org/skylarkstack/standin/EngineSpec.java
@@ -0,0 +1,52 @@
+package org.skylarkstack.standin;
+
+/**
+ * Specification of a stand-in engine.
+ *
+ * @param id the engine
+ * @param speed the speed
+ * @param memory the memory
+ * @param reporting the quality of its reports
+ * @param seed the seed of its randomness
+ */
+public record EngineSpec(String id, EngineSpeed speed, EngineMemory memory, EngineReporting reporting, long seed) {
+
+	/**
+	 * Returns a usual engine with a given step time.
+	 * @param id the engine
+	 * @param tokenMillis the time between two output tokens in milliseconds
+	 * @return the specification
+	 */
+	public static EngineSpec usual(String id, int tokenMillis) {
+		return new EngineSpec(id, EngineSpeed.ofTokenMicros(tokenMillis * 1_000), EngineMemory.USUAL,
+				EngineReporting.USUAL, id.hashCode());
+	}
+
+	/**
+	 * Returns a copy with another speed.
+	 * @param other the speed
+	 * @return the copy
+	 */
+	public EngineSpec withSpeed(EngineSpeed other) {
+		return new EngineSpec(this.id, other, this.memory, this.reporting, this.seed);
+	}
+
+	/**
+	 * Returns a copy with another memory.
+	 * @param other the memory
+	 * @return the copy
+	 */
+	public EngineSpec withMemory(EngineMemory other) {
+		return new EngineSpec(this.id, this.speed, other, this.reporting, this.seed);
+	}
+
+	/**
+	 * Returns a copy with other reporting.
+	 * @param other the reporting
+	 * @return the copy
+	 */
+	public EngineSpec withReporting(EngineReporting other) {
+		return new EngineSpec(this.id, this.speed, this.memory, other, this.seed);
+	}
+
+}
--- a/standin/src/main/java/org/skylarkstack/standin/EngineStandIn.java
+++ b/standin/src/main/java/org/skylarkstack/standin/EngineStandIn.java
@@ -3,48 +3,125 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
-import java.util.Optional;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Objects;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.javalin.config.JavalinConfig;
 import io.javalin.http.Context;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import org.skylarkstack.engine.EngineLoad;
+import org.skylarkstack.engine.HeldRequest;
 
 /**
  * Stand-in for a model engine. It speaks the engine side of
- * {@link org.skylarkstack.engine.HttpEngineClient}.
+ * {@link org.skylarkstack.engine.HttpEngineClient} in front of an {@link EngineModel}.
+ *
+ * <p>
+ * Decode requests fetch their prefill result from the engine that made it with
+ * {@code POST /v1/kv/HANDLE/pull}, as soon as they have a slot and memory. Until the
+ * first token nothing is answered, so a result that expired, was fetched before or is
+ * unknown is answered with status 409.
  */
 public final class EngineStandIn implements AutoCloseable {
 
+	private static final String REQUEST_ID = "X-Request-Id";
+
+	private static final String OWNER = "X-Request-Owner";
+
+	private static final String JSON = "application/json";
+
+	/** One blocked thread for each open stream. */
+	private static final int MAX_THREADS = 1_200;
+
+	private static final Duration PULL_TIMEOUT = Duration.ofSeconds(1);
+
 	private final ObjectMapper mapper = new ObjectMapper();
 
-	private final String id;
+	private final EngineSpec spec;
+
+	private final EngineFaults faults = new EngineFaults();
+
+	private final EngineOrders orders = new EngineOrders();
+
+	private final OkHttpClient pullClient = new OkHttpClient.Builder().retryOnConnectionFailure(false)
+		.callTimeout(PULL_TIMEOUT)
+		.build();
+
+	private final Set<String> connections = ConcurrentHashMap.newKeySet();
+
+	private final Set<String> frozenConnections = ConcurrentHashMap.newKeySet();
 
-	private final int tokenMillis;
+	private final CountDownLatch closing = new CountDownLatch(1);
 
-	private final AtomicInteger running = new AtomicInteger();
+	private final AtomicInteger starts = new AtomicInteger();
 
-	private final HttpStandIn server;
+	private final Map<String, EngineRun> earlierRuns = new HashMap<>();
+
+	private final int port;
+
+	private volatile Answer previousAnswer = new Answer("unknown", "{}");
+
+	private volatile Instance instance;
 
 	/**
-	 * Starts an engine.
+	 * Starts a usual engine.
 	 * @param id the engine
 	 * @param port the port on loopback, or 0 for a free one
 	 * @param tokenMillis the time between two output tokens in milliseconds
 	 */
 	public EngineStandIn(String id, int port, int tokenMillis) {
-		this.id = id;
-		this.tokenMillis = tokenMillis;
-		this.server = new HttpStandIn(port, this::register);
+		this(EngineSpec.usual(id, tokenMillis), port);
+	}
+
+	/**
+	 * Starts an engine.
+	 * @param spec the specification
+	 * @param port the port on loopback, or 0 for a free one
+	 */
+	public EngineStandIn(EngineSpec spec, int port) {
+		this.spec = spec;
+		this.instance = start(port);
+		this.port = this.instance.server().port();
 	}
 
-	private void register(JavalinConfig config) {
-		config.routes.post("/v1/chat/completions", this::complete);
-		config.routes.post("/v1/completions", this::complete);
+	private Instance start(int listenPort) {
+		int number = this.starts.incrementAndGet();
+		EngineModel model = new EngineModel(this.spec, new Random(this.spec.seed() + number));
+		EngineLoop loop = new EngineLoop("engine-" + this.spec.id(), model);
+		return new Instance(new HttpStandIn(listenPort, MAX_THREADS, (config) -> register(config, loop, number)), loop);
+	}
+
+	private void register(JavalinConfig config, EngineLoop loop, int start) {
+		// A broken connection or a crash is an ordinary event here and is not logged.
+		config.routes.exception(IOException.class, (failure, context) -> context.status(500));
+		config.routes.exception(InterruptedException.class, (failure, context) -> context.status(500));
+		config.routes.before((context) -> admit(context, loop));
+		config.routes.post("/v1/chat/completions", (context) -> complete(context, loop, start));
+		config.routes.post("/v1/completions", (context) -> complete(context, loop, start));
+		config.routes.get("/v1/requests", (context) -> listHeld(context, loop));
+		config.routes.delete("/v1/requests/{id}", (context) -> cancel(context, loop));
+		config.routes.post("/v1/kv/{handle}/pull", (context) -> send(context, loop, start));
+		config.routes.get("/v1/cache_events", (context) -> cacheEvents(context, loop));
+		config.routes.post("/v1/orders", this::order);
 		config.routes.get("/metrics",
-				(context) -> context.result("engine_requests_running " + this.running.get() + "\n"));
+				(context) -> context.result(gauges(loop.apply((model) -> model.loadReport(System.nanoTime())))));
 	}
 
 	/**
@@ -52,69 +129,354 @@
 	 * @return the URL without a trailing slash
 	 */
 	public String url() {
-		return this.server.url();
+		return "http://127.0.0.1:" + this.port;
 	}
 
-	private void complete(Context context) throws IOException {
-		JsonNode body = this.mapper.readTree(context.bodyAsBytes());
-		context.header("X-Request-Id", Optional.ofNullable(context.header("X-Request-Id")).orElse(""));
-		if (body.path("kv_transfer_params").path("do_remote_decode").asBoolean()) {
-			prefill(context, body);
-		}
-		else {
-			decode(context, body);
-		}
+	/**
+	 * Returns the engine.
+	 * @return the id
+	 */
+	public String id() {
+		return this.spec.id();
 	}
 
-	private void prefill(Context context, JsonNode body) {
-		ObjectNode answer = this.mapper.createObjectNode();
-		answer.putObject("kv_transfer_params").put("do_remote_prefill", true).put("remote_engine_id", this.id);
-		answer.putObject("usage").put("prompt_tokens", promptTokens(body));
-		context.contentType("application/json").result(answer.toString());
+	/**
+	 * Returns the fault switches.
+	 * @return the switches
+	 */
+	public EngineFaults faults() {
+		return this.faults;
+	}
+
+	/**
+	 * Returns what ran since the first start, by request and attempt.
+	 * @return the runs
+	 */
+	public synchronized Map<String, EngineRun> runs() {
+		Map<String, EngineRun> runs = new HashMap<>(this.earlierRuns);
+		this.instance.loop()
+			.apply(EngineModel::runs)
+			.forEach((request, run) -> runs.merge(request, run, EngineRun::plus));
+		return runs;
 	}
 
-	private static int promptTokens(JsonNode body) {
-		JsonNode prompt = body.has("messages") ? body.path("messages") : body.path("prompt");
-		return Math.max(1, prompt.toString().length() / 4);
+	/**
+	 * Returns what is held now.
+	 * @return the held requests
+	 */
+	public List<HeldRequest> held() {
+		return this.instance.loop().apply((model) -> model.held(System.nanoTime()));
 	}
 
-	private void decode(Context context, JsonNode body) throws IOException {
-		this.running.incrementAndGet();
+	/**
+	 * Returns the load now, without the lag of the load report.
+	 * @return the load
+	 */
+	public EngineLoad load() {
+		return this.instance.loop().apply(EngineModel::load);
+	}
+
+	/**
+	 * Returns the orders that were carried out.
+	 * @return the orders in sequence
+	 */
+	public List<EngineOrder> appliedOrders() {
+		return this.orders.applied();
+	}
+
+	/**
+	 * Silences all connections that exist now for ever: they stay established and nothing
+	 * passes any more. New connections work.
+	 */
+	public void freezeConnections() {
+		this.frozenConnections.addAll(this.connections);
+	}
+
+	/**
+	 * Crashes: drops all connections and all state at once and starts again on the same
+	 * port later.
+	 * @param restartMillis the time until the restart in milliseconds
+	 */
+	public void crash(int restartMillis) {
+		Instance crashed = this.instance;
+		Thread restart = new Thread(() -> restart(crashed, restartMillis), "restart-" + this.spec.id());
+		restart.setDaemon(true);
+		restart.start();
+	}
+
+	private synchronized void restart(Instance crashed, int restartMillis) {
+		if (this.instance.loop() != crashed.loop() || this.closing.getCount() == 0) {
+			return;
+		}
+		crashed.loop()
+			.apply(EngineModel::runs)
+			.forEach((request, run) -> this.earlierRuns.merge(request, run, EngineRun::plus));
+		crashed.server().kill();
+		crashed.loop().close();
 		try {
-			context.contentType("text/event-stream");
-			OutputStream output = context.outputStream();
-			int first = Integer.parseInt(Optional.ofNullable(context.header("Last-Event-ID")).orElse("0"));
-			int last = body.path("max_tokens").asInt(16);
-			for (int token = first + 1; token <= last; token++) {
-				Thread.sleep(this.tokenMillis);
-				write(output, "id: " + token + "\ndata: " + chunk(context, body, token, token == last) + "\n\n");
+			if (!this.closing.await(restartMillis, java.util.concurrent.TimeUnit.MILLISECONDS)) {
+				this.instance = start(this.port);
 			}
-			write(output, "data: [DONE]\n\n");
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
 		}
+	}
+
+	private void admit(Context context, EngineLoop loop) throws InterruptedException {
+		String connection = connection(context);
+		this.connections.add(connection);
+		if (this.frozenConnections.contains(connection)) {
+			this.closing.await();
+		}
+		String owner = context.header(OWNER);
+		if (owner != null) {
+			loop.apply((model) -> {
+				model.heard(owner, System.nanoTime());
+				return owner;
+			});
+		}
+	}
+
+	private static String connection(Context context) {
+		return context.req().getServletConnection().getConnectionId();
+	}
+
+	private void complete(Context context, EngineLoop loop, int start) throws IOException, InterruptedException {
+		JsonNode json = this.mapper.readTree(context.bodyAsBytes());
+		String requestId = Objects.requireNonNullElse(context.header(REQUEST_ID), "");
+		context.header(REQUEST_ID, requestId);
+		if (this.faults.hits(EngineFaults.Counted.SILENT)) {
+			this.closing.await();
+		}
+		if (this.faults.hits(EngineFaults.Counted.FULL)) {
+			context.status(429);
+			return;
+		}
+		CompletionBody body = new CompletionBody(this.mapper, json, requestId);
+		EngineRequest request = request(context, requestId, body);
+		if (request.resumeOffset() > 0 && request.resumeOffset() >= body.outputTokens()) {
+			stream(context, new Exchange(loop, request, body, 0));
+			return;
+		}
+		OptionalLong handle = loop.offer(request);
+		if (handle.isEmpty()) {
+			context.status(429);
+			return;
+		}
+		Exchange exchange = new Exchange(loop, request, body, handle.getAsLong());
+		try {
+			if (request.kind() == EngineRequest.Kind.PREFILL) {
+				prefill(context, exchange, start);
+			}
+			else {
+				decode(context, exchange);
+			}
+		}
 		finally {
-			this.running.decrementAndGet();
+			loop.forget(handle.getAsLong());
 		}
 	}
 
-	private ObjectNode chunk(Context context, JsonNode body, int token, boolean last) {
-		boolean chat = body.has("messages");
-		ObjectNode chunk = this.mapper.createObjectNode()
-			.put("id", "cmpl-" + context.header("X-Request-Id"))
-			.put("object", chat ? "chat.completion.chunk" : "text_completion")
-			.put("created", 0)
-			.put("model", body.path("model").asText());
-		ObjectNode choice = chunk.putArray("choices").addObject().put("index", 0);
-		if (chat) {
-			choice.putObject("delta").put("content", " t" + token);
+	private EngineRequest request(Context context, String requestId, CompletionBody body) {
+		EngineRequest.Kind kind = EngineRequest.Kind.WHOLE;
+		if (body.prefillOnly()) {
+			kind = EngineRequest.Kind.PREFILL;
+		}
+		else if (body.imports()) {
+			kind = EngineRequest.Kind.DECODE;
+		}
+		boolean prefill = kind == EngineRequest.Kind.PREFILL;
+		int resume = Integer.parseInt(Objects.requireNonNullElse(context.header("Last-Event-ID"), "0"));
+		return new EngineRequest(requestId, Objects.requireNonNullElse(context.header(OWNER), ""), kind,
+				body.promptTokens(), PrefixBlocks.hashes(body.prompt()), prefill ? 0 : body.outputTokens(), resume,
+				body.priority(), stallStage(kind));
+	}
+
+	private EngineStage stallStage(EngineRequest.Kind kind) {
+		if (kind == EngineRequest.Kind.PREFILL) {
+			return this.faults.hits(EngineFaults.Counted.STALLED_PREFILL) ? EngineStage.PREFILL : EngineStage.NONE;
+		}
+		if (kind == EngineRequest.Kind.DECODE && this.faults.hits(EngineFaults.Counted.STALLED_TRANSFER)) {
+			return EngineStage.TRANSFER;
+		}
+		return this.faults.hits(EngineFaults.Counted.STALLED_STREAM) ? EngineStage.STREAM : EngineStage.NONE;
+	}
+
+	private void prefill(Context context, Exchange exchange, int start) throws IOException, InterruptedException {
+		EngineEvent event = exchange.take();
+		if (event.type() != EngineEvent.Type.PREFILLED) {
+			context.status(409);
+			return;
+		}
+		crashIfMarked(exchange);
+		delayIfLate();
+		ObjectNode answer = this.mapper.createObjectNode();
+		answer.putObject("kv_transfer_params")
+			.put("do_remote_prefill", true)
+			.put("remote_engine_id", this.spec.id())
+			.put("remote_url", url())
+			.put("remote_handle", start + "-" + exchange.handle());
+		answer.putObject("usage")
+			.put("prompt_tokens", exchange.body().promptTokens())
+			.putObject("prompt_tokens_details")
+			.put("cached_tokens", event.value());
+		answer(context, new Answer(exchange.request().requestId(), answer.toString()));
+	}
+
+	private void answer(Context context, Answer own) {
+		Answer previous = this.previousAnswer;
+		this.previousAnswer = own;
+		Answer sent = this.faults.hits(EngineFaults.Counted.CROSSED) ? previous : own;
+		if (this.faults.hits(EngineFaults.Counted.WRONG_REQUEST_ID)) {
+			sent = new Answer("never-sent", sent.body());
+		}
+		context.header(REQUEST_ID, sent.requestId()).contentType(JSON).result(sent.body());
+	}
+
+	private void crashIfMarked(Exchange exchange) throws InterruptedException {
+		if (this.faults.crashes(exchange.body().prompt())) {
+			crash(this.faults.restartMillis());
+			this.closing.await();
+		}
+	}
+
+	private void delayIfLate() throws InterruptedException {
+		if (this.faults.hits(EngineFaults.Counted.LATE)) {
+			Thread.sleep(this.faults.lateMillis());
+		}
+	}
+
+	private void decode(Context context, Exchange exchange) throws IOException, InterruptedException {
+		EngineEvent event = exchange.take();
+		if (event.type() == EngineEvent.Type.PULL) {
+			OptionalLong sendNanos = pull(exchange.body().transfer());
+			if (sendNanos.isEmpty()) {
+				exchange.cancel();
+				context.status(409);
+				return;
+			}
+			exchange.received(sendNanos.getAsLong());
+			event = exchange.take();
+		}
+		if (event.type() == EngineEvent.Type.CANCELLED) {
+			context.status(409);
+			return;
+		}
+		crashIfMarked(exchange);
+		delayIfLate();
+		if (this.faults.hits(EngineFaults.Counted.WRONG_REQUEST_ID)) {
+			context.header(REQUEST_ID, "never-sent");
+		}
+		if (this.faults.hits(EngineFaults.Counted.CROSSED)) {
+			context.header(REQUEST_ID, this.previousAnswer.requestId());
+		}
+		if (exchange.body().streamed()) {
+			relay(context, exchange, event);
 		}
 		else {
-			choice.put("text", " t" + token);
+			collect(context, exchange, event);
+		}
+	}
+
+	private OptionalLong pull(JsonNode transfer) {
+		String source = transfer.path("remote_url").asText();
+		if (source.isEmpty()) {
+			return OptionalLong.empty();
+		}
+		Request request = new Request.Builder()
+			.url(source + "/v1/kv/" + transfer.path("remote_handle").asText() + "/pull")
+			.post(RequestBody.create(new byte[0]))
+			.build();
+		try (Response response = this.pullClient.newCall(request).execute()) {
+			return response.isSuccessful() ? OptionalLong.of(Long.parseLong(response.body().string()))
+					: OptionalLong.empty();
+		}
+		catch (IOException | NumberFormatException ex) {
+			return OptionalLong.empty();
+		}
+	}
+
+	private void send(Context context, EngineLoop loop, int start) {
+		String[] parts = context.pathParam("handle").split("-", 2);
+		OptionalLong nanos = OptionalLong.empty();
+		if (parts.length == 2 && parts[0].equals(Integer.toString(start))) {
+			nanos = loop.apply((model) -> model.send(Long.parseLong(parts[1]), System.nanoTime()));
+		}
+		if (nanos.isEmpty()) {
+			context.status(404);
+		}
+		else {
+			context.result(Long.toString(nanos.getAsLong()));
+		}
+	}
+
+	private void collect(Context context, Exchange exchange, EngineEvent first) throws InterruptedException {
+		EngineEvent event = first;
+		while (event.type() == EngineEvent.Type.TOKEN) {
+			event = exchange.take();
+		}
+		if (event.type() == EngineEvent.Type.CANCELLED) {
+			context.status(409);
+			return;
+		}
+		answer(context, new Answer(exchange.request().requestId(), exchange.body().wholeAnswer()));
+	}
+
+	private void relay(Context context, Exchange exchange, EngineEvent first) throws IOException, InterruptedException {
+		try {
+			OutputStream output = openStream(context);
+			EngineEvent event = first;
+			int sent = 0;
+			while (event.type() == EngineEvent.Type.TOKEN || event.type() == EngineEvent.Type.LAST_TOKEN) {
+				if (this.frozenConnections.contains(connection(context))) {
+					this.closing.await();
+				}
+				if (sent == this.faults.faultAfterTokens()) {
+					if (this.faults.hits(EngineFaults.Counted.TRUNCATED_STREAM)) {
+						exchange.cancel();
+						return;
+					}
+					crossEvent(output);
+				}
+				write(output, "id: " + event.value() + "\ndata: " + exchange.body().chunk(event.value()) + "\n\n");
+				exchange.heard();
+				sent++;
+				if (event.type() == EngineEvent.Type.LAST_TOKEN) {
+					end(output, exchange.body());
+					return;
+				}
+				event = exchange.take();
+			}
+			throw new IOException("request was cancelled");
+		}
+		catch (IOException ex) {
+			if (!this.faults.keepsAfterDisconnect()) {
+				exchange.cancel();
+			}
+			throw ex;
 		}
-		choice.put("finish_reason", last ? "stop" : null);
-		return chunk;
+	}
+
+	private void stream(Context context, Exchange exchange) throws IOException {
+		end(openStream(context), exchange.body());
+	}
+
+	private static OutputStream openStream(Context context) {
+		context.contentType("text/event-stream");
+		return context.outputStream();
+	}
+
+	private void crossEvent(OutputStream output) throws IOException {
+		if (this.faults.hits(EngineFaults.Counted.CROSSED_EVENT)) {
+			ObjectNode chunk = this.mapper.createObjectNode().put("id", "cmpl-another").put("object", "crossed");
+			chunk.putArray("choices").addObject().put("index", 0).putObject("delta").put("content", " crossed");
+			write(output, "id: 1\ndata: " + chunk + "\n\n");
+		}
+	}
+
+	private static void end(OutputStream output, CompletionBody body) throws IOException {
+		write(output, (body.wantsUsage() ? "data: " + body.usageChunk() + "\n\n" : "") + "data: [DONE]\n\n");
 	}
 
 	private static void write(OutputStream output, String text) throws IOException {
@@ -122,9 +484,97 @@
 		output.flush();
 	}
 
+	private void listHeld(Context context, EngineLoop loop) {
+		ArrayNode list = this.mapper.createArrayNode();
+		loop.apply((model) -> model.held(System.nanoTime()))
+			.forEach((held) -> list.addObject()
+				.put("request_id", held.requestId())
+				.put("owner", held.owner())
+				.put("kind", held.kind())
+				.put("pieces", held.pieces())
+				.put("idle_millis", held.idleMillis()));
+		context.contentType(JSON).result(list.toString());
+	}
+
+	private void cancel(Context context, EngineLoop loop) {
+		boolean ignored = this.faults.hits(EngineFaults.Counted.IGNORED_CANCEL);
+		int cancelled = ignored ? 0 : loop.apply((model) -> model.cancel(context.pathParam("id")));
+		context.contentType(JSON).result("{\"cancelled\":%d}".formatted(cancelled));
+	}
+
+	private void cacheEvents(Context context, EngineLoop loop) {
+		long after = Long.parseLong(Objects.requireNonNullElse(context.queryParam("after"), "0"));
+		ObjectNode answer = this.mapper.createObjectNode();
+		ArrayNode events = answer.putArray("events");
+		loop.apply((model) -> model.cacheEvents(after, System.nanoTime()))
+			.forEach((event) -> events.addObject()
+				.put("sequence", event.sequence())
+				.put("type", event.stored() ? "stored" : "removed")
+				.put("hash", event.hash()));
+		context.contentType(JSON).result(answer.toString());
+	}
+
+	private void order(Context context) throws IOException {
+		JsonNode body = this.mapper.readTree(context.bodyAsBytes());
+		int status = this.orders.apply(body, this.faults.checksFencing(), System.currentTimeMillis());
+		context.status(status).contentType(JSON).result("{\"applied\":%s}".formatted(status == 200));
+	}
+
+	private static String gauges(EngineLoad load) {
+		return String.format(Locale.ROOT, """
+				engine_requests_running %d
+				engine_requests_waiting %d
+				engine_kv_pieces_used %d
+				engine_prefill_tokens_queued %d
+				""", load.running(), load.waiting(), load.usedPieces(), load.queuedPrefillTokens());
+	}
+
 	@Override
 	public void close() {
-		this.server.close();
+		this.closing.countDown();
+		synchronized (this) {
+			this.instance.server().kill();
+			this.instance.loop().close();
+		}
+		this.pullClient.dispatcher().executorService().shutdown();
+		this.pullClient.connectionPool().evictAll();
+	}
+
+	private record Instance(HttpStandIn server, EngineLoop loop) {
+
+	}
+
+	private record Answer(String requestId, String body) {
+
+	}
+
+	private record Exchange(EngineLoop loop, EngineRequest request, CompletionBody body, long handle) {
+
+		EngineEvent take() throws InterruptedException {
+			return this.loop.take(this.handle);
+		}
+
+		void cancel() {
+			this.loop.apply((model) -> {
+				model.cancel(this.handle);
+				return this.handle;
+			});
+		}
+
+		void received(long sendNanos) {
+			this.loop.apply((model) -> {
+				model.receive(this.handle, sendNanos, System.nanoTime());
+				return this.handle;
+			});
+		}
+
+		void heard() {
+			this.loop.apply((model) -> {
+				model.heard(this.request.owner(), System.nanoTime());
+				return this.handle;
+			});
+		}
+
 	}
 
 }
--- a/standin/src/main/java/org/skylarkstack/standin/HttpStandIn.java
+++ b/standin/src/main/java/org/skylarkstack/standin/HttpStandIn.java
@@ -4,6 +4,9 @@
 
 import io.javalin.Javalin;
 import io.javalin.config.JavalinConfig;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.server.Connector;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
 /**
  * HTTP server of a stand-in on the loopback interface.
@@ -12,17 +15,45 @@
 
 	private static final String LOOPBACK = "127.0.0.1";
 
+	private static final int USUAL_THREADS = 250;
+
+	/** Blocked handlers are interrupted after half of this time. */
+	private static final int STOP_MILLIS = 100;
+
 	private final Javalin server;
 
+	private final int port;
+
 	HttpStandIn(int port, Consumer<JavalinConfig> routes) {
+		this(port, USUAL_THREADS, routes);
+	}
+
+	HttpStandIn(int port, int maxThreads, Consumer<JavalinConfig> routes) {
 		this.server = Javalin.create((config) -> {
 			config.startup.showJavalinBanner = false;
+			QueuedThreadPool threads = new QueuedThreadPool(maxThreads);
+			threads.setName("stand-in");
+			threads.setStopTimeout(STOP_MILLIS);
+			config.jetty.threadPool = threads;
 			routes.accept(config);
 		}).start(LOOPBACK, port);
+		this.port = this.server.port();
+	}
+
+	int port() {
+		return this.port;
 	}
 
 	String url() {
-		return "http://" + LOOPBACK + ":" + this.server.port();
+		return "http://" + LOOPBACK + ":" + this.port;
+	}
+
+	/** Drops all connections at once and stops. */
+	void kill() {
+		for (Connector connector : this.server.jettyServer().server().getConnectors()) {
+			connector.getConnectedEndPoints().forEach(EndPoint::close);
+		}
+		close();
 	}
 
 	@Override
--- /dev/null
+++ b/standin/src/test/java/org/skylarkstack/standin/EngineStandInTests.java
@@ -0,0 +1,177 @@
+package org.skylarkstack.standin;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import okhttp3.OkHttpClient;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.skylarkstack.configuration.EngineNode;
+import org.skylarkstack.configuration.EngineRole;
+import org.skylarkstack.engine.DecodeEvent;
+import org.skylarkstack.engine.DecodeStream;
+import org.skylarkstack.engine.EngineCall;
+import org.skylarkstack.engine.HttpEngineClient;
+import org.skylarkstack.engine.PrefillResult;
+import org.skylarkstack.kernel.RouterException;
+import org.skylarkstack.kernel.Verdict;
+import org.skylarkstack.settings.BackendTimeouts;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests of {@link EngineStandIn} through the router's engine client.
+ */
+class EngineStandInTests {
+
+	private static final int OUTPUT_TOKENS = 8;
+
+	private final EngineStandIn prefill = new EngineStandIn("prefill", 0, 2);
+
+	private final EngineStandIn decode = new EngineStandIn("decode", 0, 2);
+
+	private final HttpEngineClient client = new HttpEngineClient(
+			new OkHttpClient.Builder().retryOnConnectionFailure(false).build(),
+			new BackendTimeouts(500, 500, 500, 500, 500, 500, 500));
+
+	private final ObjectMapper mapper = new ObjectMapper();
+
+	@AfterEach
+	void stop() {
+		this.prefill.close();
+		this.decode.close();
+	}
+
+	private static EngineNode node(EngineStandIn engine) {
+		return new EngineNode(engine.id(), engine.url(), "dc", "model", EngineRole.BOTH, 20, 64, 20_000, true, false);
+	}
+
+	private EngineCall call(String id, String prompt) {
+		ObjectNode body = this.mapper.createObjectNode().put("model", "model").put("max_tokens", OUTPUT_TOKENS);
+		body.put("prompt", prompt);
+		return new EngineCall(id, "vm.1", "/v1/completions", body);
+	}
+
+	private PrefillResult prefill(EngineCall call) {
+		return this.client.prefill(node(this.prefill), call);
+	}
+
+	private String read(EngineCall call, PrefillResult result, int from) {
+		StringBuilder text = new StringBuilder();
+		try (DecodeStream stream = this.client.decode(node(this.decode), call, result, from)) {
+			for (@Nullable
+			DecodeEvent event = stream.next(); event != null; event = stream.next()) {
+				text.append(event.tokenOffset()).append(event.data().replaceAll(".*\"text\":\"([^\"]*)\".*", "$1"));
+			}
+		}
+		return text.toString();
+	}
+
+	private static RouterException failureOf(Runnable call) {
+		try {
+			call.run();
+		}
+		catch (RouterException ex) {
+			return ex;
+		}
+		throw new AssertionError("the call succeeded");
+	}
+
+	private static void await(BooleanSupplier condition) throws InterruptedException {
+		for (int attempt = 0; attempt < 500 && !condition.getAsBoolean(); attempt++) {
+			Thread.sleep(Duration.ofMillis(20).toMillis());
+		}
+		assertThat(condition.getAsBoolean()).isTrue();
+	}
+
+	/** Guards against a resumed answer that differs from an uninterrupted one. */
+	@Test
+	void resumedAnswerEqualsTheRestOfTheWholeAnswer() throws InterruptedException {
+		EngineCall call = call("a.1", "summarise");
+		String whole = read(call, prefill(call), 0);
+		String rest = read(call, prefill(call), 5);
+		assertThat(whole).endsWith(rest);
+		assertThat(rest).startsWith("6 ");
+		assertThat(this.decode.runs().get("a.1")).isEqualTo(new EngineRun(0, 0, 0, 2, OUTPUT_TOKENS + 3, 2));
+		await(() -> this.prefill.held().isEmpty() && this.decode.held().isEmpty());
+	}
+
+	/** Guards against output that was decoded without a valid prefill result. */
+	@Test
+	void refusesAPrefillResultThatWasUsedBefore() {
+		EngineCall call = call("a.1", "summarise");
+		PrefillResult result = prefill(call);
+		read(call, result, 0);
+		RouterException failure = failureOf(() -> read(call, result, 0));
+		assertThat(failure).hasMessageThat().contains("409");
+		assertThat(this.decode.held()).isEmpty();
+	}
+
+	/** Guards against fault switches that do nothing. */
+	@Test
+	void faultsHitTheNextRequests() {
+		EngineCall call = call("a.1", "summarise");
+		this.prefill.faults().hit(EngineFaults.Counted.FULL, 1);
+		assertThat(failureOf(() -> prefill(call)).verdict()).isEqualTo(Verdict.NOT_RUN);
+		assertThat(this.prefill.runs()).isEmpty();
+		this.prefill.faults().hit(EngineFaults.Counted.WRONG_REQUEST_ID, 1);
+		assertThat(failureOf(() -> prefill(call))).hasMessageThat().contains("never-sent");
+		this.decode.faults().hit(EngineFaults.Counted.TRUNCATED_STREAM, 1);
+		assertThat(failureOf(() -> read(call, prefill(call), 0))).hasMessageThat().contains("end marker");
+		this.decode.faults().hit(EngineFaults.Counted.STALLED_STREAM, 1);
+		failureOf(() -> read(call, prefill(call), 0));
+		assertThat(this.decode.held()).hasSize(1);
+		this.client.cancel(node(this.decode), "a.1");
+		assertThat(this.decode.held()).isEmpty();
+		this.prefill.faults().hit(EngineFaults.Counted.SILENT, 1);
+		failureOf(() -> prefill(call));
+	}
+
+	/** Guards against a crash that leaves connections, state or counters behind. */
+	@Test
+	void crashDropsTheConnectionAndRestartsOnTheSamePort() throws InterruptedException {
+		this.prefill.faults().crashOn("poison");
+		this.prefill.faults().restartAfter(50);
+		RouterException failure = failureOf(() -> prefill(call("a.1", "poison")));
+		assertThat(failure.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+		await(() -> {
+			try {
+				return prefill(call("b.1", "harmless")).promptTokens() > 0;
+			}
+			catch (RouterException ex) {
+				return false;
+			}
+		});
+		assertThat(this.prefill.runs().keySet()).containsExactly("a.1", "b.1");
+	}
+
+	/**
+	 * Guards against frozen connections that still pass bytes or new ones that do not.
+	 */
+	@Test
+	void frozenConnectionsPassNothingAndNewOnesWork() {
+		EngineCall call = call("a.1", "summarise");
+		prefill(call);
+		this.prefill.freezeConnections();
+		failureOf(() -> prefill(call));
+		assertThat(prefill(call).promptTokens()).isGreaterThan(0);
+	}
+
+	/** Guards against orders with an old fencing number that pass or block wrongly. */
+	@Test
+	void ordersAreFencedOnlyWhenChecked() {
+		EngineOrders orders = new EngineOrders();
+		ObjectNode order = this.mapper.createObjectNode().put("kind", "load_adapter").put("target", "x");
+		assertThat(orders.apply(order.put("fencing_number", 5), true, 0)).isEqualTo(200);
+		assertThat(orders.apply(order.put("fencing_number", 4), true, 0)).isEqualTo(409);
+		assertThat(orders.apply(order.put("fencing_number", 4), false, 0)).isEqualTo(200);
+		assertThat(orders.apply(order.put("expires_epoch_millis", 9), false, 10)).isEqualTo(410);
+		assertThat(orders.applied())
+			.isEqualTo(List.of(new EngineOrder("load_adapter", "x", 5), new EngineOrder("load_adapter", "x", 4)));
+	}
+
+}
--- /dev/null
+++ b/standin/src/test/java/org/skylarkstack/standin/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Tests of the stand-ins.
+ */
+@NullMarked
+package org.skylarkstack.standin;
+
+import org.jspecify.annotations.NullMarked;
