Add plain services, routes and killed daemons to local fleets

Cause: a fleet could run neither plain services nor a daemon that dies without grace, and the engine plan's slots, memory and prefill speed did not reach the stand-in engines.

Change: PlainServiceStandIn records each request and each effect and has faults before and after the effect. FleetPlan carries services and routes; EnginePlan makes the full engine specification; LocalFleet.killDaemon closes all sockets through the new Daemon.kill. Engines also count runs by the body's user field, count Authorization headers and tell the text that belongs to a request.

Conclusion: single runs of bookings and a leaked key can be checked from outside. Daemon.kill does not close sockets to backend servers at once.

--- a/bench/src/main/java/org/skylarkstack/fleet/EnginePlan.java
+++ b/bench/src/main/java/org/skylarkstack/fleet/EnginePlan.java
@@ -2,6 +2,9 @@
 
 import org.skylarkstack.configuration.EngineNode;
 import org.skylarkstack.configuration.EngineRole;
+import org.skylarkstack.standin.EngineMemory;
+import org.skylarkstack.standin.EngineSpec;
+import org.skylarkstack.standin.EngineSpeed;
 
 /**
  * Engine of a planned fleet.
@@ -23,4 +26,15 @@
 				this.prefillTokensPerSecond, true, false);
 	}
 
+	EngineSpec spec() {
+		EngineSpec usual = EngineSpec.usual(this.id, this.tokenMillis);
+		EngineSpeed speed = usual.speed();
+		EngineMemory memory = usual.memory();
+		return usual
+			.withSpeed(new EngineSpeed(this.decodeSlots, speed.tokenMicros(), speed.batchSlowdown(),
+					this.prefillTokensPerSecond, speed.prefillBaseMicros(), speed.transferTokensPerSecond()))
+			.withMemory(new EngineMemory(this.memoryPieces, memory.cacheBlocks(), memory.prefillResultMillis(),
+					memory.maxWaiting()));
+	}
+
 }
--- a/bench/src/main/java/org/skylarkstack/fleet/FleetClient.java
+++ b/bench/src/main/java/org/skylarkstack/fleet/FleetClient.java
@@ -12,6 +12,7 @@
 import okhttp3.Request;
 import okhttp3.RequestBody;
 import okhttp3.Response;
+import org.jspecify.annotations.Nullable;
 import org.skylarkstack.configuration.Ticket;
 
 /**
@@ -112,6 +113,27 @@
 			.build();
 	}
 
+	/**
+	 * Returns a request to a plain service.
+	 * @param vmId the VM to ask
+	 * @param key the caller's key, or {@code null} on an open route
+	 * @param path the path
+	 * @param body the body of a POST, or {@code null} for a GET
+	 * @param idempotencyKey the idempotency key, or {@code null} for none
+	 * @return the request
+	 */
+	public Request service(String vmId, @Nullable String key, String path, @Nullable String body,
+			@Nullable String idempotencyKey) {
+		Request.Builder request = new Request.Builder().url(this.fleet.callerUrl(vmId) + path);
+		if (key != null) {
+			request.header("Authorization", "Bearer " + key);
+		}
+		if (idempotencyKey != null) {
+			request.header("Idempotency-Key", idempotencyKey);
+		}
+		return ((body != null) ? request.post(RequestBody.create(body, JSON)) : request).build();
+	}
+
 	/**
 	 * Sends a request and reads its whole answer.
 	 * @param request the request
--- a/bench/src/main/java/org/skylarkstack/fleet/FleetPlan.java
+++ b/bench/src/main/java/org/skylarkstack/fleet/FleetPlan.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 
+import org.skylarkstack.configuration.Route;
 import org.skylarkstack.configuration.Team;
 
 /**
@@ -12,10 +13,12 @@
  * @param engines the engines
  * @param teams the teams
  * @param keys the callers' keys by key; the value is the team
+ * @param services the plain services
+ * @param routes the routes to plain services
  * @param placementPolicy the name of the placement policy
  */
 public record FleetPlan(List<VmPlan> vms, List<EnginePlan> engines, List<Team> teams, Map<String, String> keys,
-		String placementPolicy) {
+		List<ServicePlan> services, List<Route> routes, String placementPolicy) {
 
 	/** Copies the collections. */
 	public FleetPlan {
@@ -23,6 +26,21 @@
 		engines = List.copyOf(engines);
 		teams = List.copyOf(teams);
 		keys = Map.copyOf(keys);
+		services = List.copyOf(services);
+		routes = List.copyOf(routes);
+	}
+
+	/**
+	 * Creates a plan without plain services.
+	 * @param vms the VMs
+	 * @param engines the engines
+	 * @param teams the teams
+	 * @param keys the callers' keys by key; the value is the team
+	 * @param placementPolicy the name of the placement policy
+	 */
+	public FleetPlan(List<VmPlan> vms, List<EnginePlan> engines, List<Team> teams, Map<String, String> keys,
+			String placementPolicy) {
+		this(vms, engines, teams, keys, List.of(), List.of(), placementPolicy);
 	}
 
 }
--- a/bench/src/main/java/org/skylarkstack/fleet/LocalFleet.java
+++ b/bench/src/main/java/org/skylarkstack/fleet/LocalFleet.java
@@ -3,12 +3,15 @@
 import java.io.IOException;
 import java.net.ServerSocket;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
 import org.skylarkstack.configuration.ApiKey;
+import org.skylarkstack.configuration.BackendServer;
+import org.skylarkstack.configuration.BackendService;
 import org.skylarkstack.configuration.Ticket;
 import org.skylarkstack.configuration.TicketChange;
 import org.skylarkstack.daemon.Daemon;
@@ -18,6 +21,7 @@
 import org.skylarkstack.settings.PeerSettings;
 import org.skylarkstack.settings.PlatformSettings;
 import org.skylarkstack.standin.EngineStandIn;
+import org.skylarkstack.standin.PlainServiceStandIn;
 import org.skylarkstack.standin.PlatformStandIn;
 
 /**
@@ -40,7 +44,9 @@
 
 	private final Map<String, EngineStandIn> engines = new LinkedHashMap<>();
 
-	private final Map<String, Daemon> daemons = new LinkedHashMap<>();
+	private final Map<String, List<PlainServiceStandIn>> services = new LinkedHashMap<>();
+
+	private final Map<String, Daemon> daemons = Collections.synchronizedMap(new LinkedHashMap<>());
 
 	private final List<PeerSettings> peers = new ArrayList<>();
 
@@ -55,9 +61,10 @@
 	 */
 	public static LocalFleet start(FleetPlan plan) {
 		LocalFleet fleet = new LocalFleet(plan);
-		plan.engines()
-			.forEach((engine) -> fleet.engines.put(engine.id(),
-					new EngineStandIn(engine.id(), 0, engine.tokenMillis())));
+		plan.engines().forEach((engine) -> fleet.engines.put(engine.id(), new EngineStandIn(engine.spec(), 0)));
+		plan.services()
+			.forEach((service) -> fleet.services.put(service.id(),
+					service.dataCentres().stream().map((dataCentre) -> new PlainServiceStandIn(0)).toList()));
 		plan.vms()
 			.forEach((vm) -> fleet.peers
 				.add(new PeerSettings(vm.vmId(), vm.dataCentre(), new ListenAddress(LOOPBACK, freePort()))));
@@ -106,7 +113,16 @@
 	}
 
 	/**
-	 * Returns the ticket that sets up the planned teams, keys and engines.
+	 * Kills the daemon of a VM: all its sockets are closed at once.
+	 * @param vmId the VM
+	 */
+	public void killDaemon(String vmId) {
+		Optional.ofNullable(this.daemons.remove(vmId)).ifPresent(Daemon::kill);
+	}
+
+	/**
+	 * Returns the ticket that sets up the planned teams, keys, engines, services and
+	 * routes.
 	 * @return ticket 1
 	 */
 	public Ticket firstTicket() {
@@ -116,9 +132,38 @@
 			.forEach((key, team) -> changes.add(TicketChange
 				.set(new ApiKey("key-" + Hashes.sha256(key).substring(0, 8), Hashes.sha256(key), team))));
 		this.plan.engines().forEach((engine) -> changes.add(TicketChange.set(engine.node(engine(engine.id()).url()))));
+		this.plan.services().forEach((service) -> changes.add(TicketChange.set(backendService(service))));
+		this.plan.routes().forEach((route) -> changes.add(TicketChange.set(route)));
 		return new Ticket(1, "local", changes);
 	}
 
+	private BackendService backendService(ServicePlan service) {
+		List<BackendServer> servers = new ArrayList<>();
+		for (int server = 0; server < service.dataCentres().size(); server++) {
+			servers.add(new BackendServer(services(service.id()).get(server).url(), service.dataCentres().get(server),
+					false));
+		}
+		return new BackendService(service.id(), servers);
+	}
+
+	/**
+	 * Returns the servers of a plain service.
+	 * @param id the service
+	 * @return the stand-ins in planned order
+	 */
+	public List<PlainServiceStandIn> services(String id) {
+		return Optional.ofNullable(this.services.get(id))
+			.orElseThrow(() -> new IllegalArgumentException("service %s is not planned".formatted(id)));
+	}
+
+	/**
+	 * Returns the plan.
+	 * @return the plan
+	 */
+	public FleetPlan plan() {
+		return this.plan;
+	}
+
 	/**
 	 * Returns the platform.
 	 * @return the stand-in
@@ -152,7 +197,9 @@
 	 * @return the VMs in planned order
 	 */
 	public List<String> vmIds() {
-		return List.copyOf(this.daemons.keySet());
+		synchronized (this.daemons) {
+			return List.copyOf(this.daemons.keySet());
+		}
 	}
 
 	/**
@@ -177,6 +224,7 @@
 	public void close() {
 		this.daemons.values().forEach(Daemon::close);
 		this.engines.values().forEach(EngineStandIn::close);
+		this.services.values().forEach((servers) -> servers.forEach(PlainServiceStandIn::close));
 		this.platform.close();
 	}
 
--- a/daemon/src/main/java/org/skylarkstack/daemon/Daemon.java
+++ b/daemon/src/main/java/org/skylarkstack/daemon/Daemon.java
@@ -1,5 +1,6 @@
 package org.skylarkstack.daemon;
 
+import java.util.List;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -7,6 +8,8 @@
 import io.javalin.Javalin;
 import jakarta.inject.Inject;
 import jakarta.inject.Singleton;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.server.Connector;
 import org.skylarkstack.configuration.TicketLog;
 import org.skylarkstack.http.CallerApi;
 import org.skylarkstack.http.OperatorApi;
@@ -114,6 +117,19 @@
 		return this.operatorServer.port();
 	}
 
+	/**
+	 * Closes all connections of callers and operators at once and stops, as if the
+	 * process had died. Calls to backend servers end when their threads are interrupted.
+	 */
+	public void kill() {
+		for (Javalin server : List.of(this.callerServer, this.operatorServer)) {
+			for (Connector connector : server.jettyServer().server().getConnectors()) {
+				connector.getConnectedEndPoints().forEach(EndPoint::close);
+			}
+		}
+		close();
+	}
+
 	@Override
 	public void close() {
 		this.poller.shutdownNow();
--- a/standin/src/main/java/org/skylarkstack/standin/CompletionBody.java
+++ b/standin/src/main/java/org/skylarkstack/standin/CompletionBody.java
@@ -120,11 +120,16 @@
 				outputTokens(), promptTokens() + outputTokens());
 	}
 
-	String wholeAnswer() {
+	String wholeText() {
 		StringBuilder text = new StringBuilder();
 		for (int offset = 1; offset <= outputTokens(); offset++) {
 			text.append(text(offset));
 		}
+		return text.toString();
+	}
+
+	String wholeAnswer() {
+		String text = wholeText();
 		String content = this.chat ? "\"message\":{\"role\":\"assistant\",\"content\":\"" + text + "\"}"
 				: "\"text\":\"" + text + "\"";
 		String head = this.chunkHead.replace("chat.completion.chunk", "chat.completion");
--- a/standin/src/main/java/org/skylarkstack/standin/EngineStandIn.java
+++ b/standin/src/main/java/org/skylarkstack/standin/EngineStandIn.java
@@ -74,6 +74,10 @@
 
 	private final Map<String, EngineRun> earlierRuns = new HashMap<>();
 
+	private final Map<String, String> users = new ConcurrentHashMap<>();
+
+	private final AtomicInteger authorizations = new AtomicInteger();
+
 	private final int port;
 
 	private volatile Answer previousAnswer = new Answer("unknown", "{}");
@@ -160,6 +164,39 @@
 		return runs;
 	}
 
+	/**
+	 * Returns what ran since the first start, by the {@code user} field of the body,
+	 * which is the caller's own name for a request.
+	 * @return the runs of requests with that field
+	 */
+	public Map<String, EngineRun> runsByUser() {
+		Map<String, EngineRun> runs = new HashMap<>();
+		runs().forEach((request, run) -> {
+			String user = this.users.get(request);
+			if (user != null) {
+				runs.merge(user, run, EngineRun::plus);
+			}
+		});
+		return runs;
+	}
+
+	/**
+	 * Returns how many requests came with an Authorization header.
+	 * @return the number; callers' keys must not reach an engine
+	 */
+	public int authorizationsSeen() {
+		return this.authorizations.get();
+	}
+
+	/**
+	 * Returns the text that an engine answers to a completion request.
+	 * @param body the body of the request
+	 * @return the whole text
+	 */
+	public static String answerText(JsonNode body) {
+		return new CompletionBody(new ObjectMapper(), body, "").wholeText();
+	}
+
 	/**
 	 * Returns what is held now.
 	 * @return the held requests
@@ -229,6 +266,9 @@
 		if (this.frozenConnections.contains(connection)) {
 			this.closing.await();
 		}
+		if (context.header("Authorization") != null) {
+			this.authorizations.incrementAndGet();
+		}
 		String owner = context.header(OWNER);
 		if (owner != null) {
 			loop.apply((model) -> {
@@ -255,6 +295,9 @@
 		}
 		CompletionBody body = new CompletionBody(this.mapper, json, requestId);
 		EngineRequest request = request(context, requestId, body);
+		if (json.hasNonNull("user")) {
+			this.users.put(requestId, json.path("user").asText());
+		}
 		if (request.resumeOffset() > 0 && request.resumeOffset() >= body.outputTokens()) {
 			stream(context, new Exchange(loop, request, body, 0));
 			return;
--- /dev/null
+++ b/standin/src/test/java/org/skylarkstack/standin/PlainServiceStandInTests.java
@@ -0,0 +1,64 @@
+package org.skylarkstack.standin;
+
+import java.io.IOException;
+import java.time.Duration;
+
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests of {@link PlainServiceStandIn}.
+ */
+class PlainServiceStandInTests {
+
+	private final PlainServiceStandIn service = new PlainServiceStandIn(0);
+
+	private final OkHttpClient client = new OkHttpClient.Builder().retryOnConnectionFailure(false)
+		.readTimeout(Duration.ofMillis(500))
+		.build();
+
+	@AfterEach
+	void stop() {
+		this.service.close();
+	}
+
+	private int book(String body) {
+		Request request = new Request.Builder().url(this.service.url() + "/bookings")
+			.header("X-Caller", "c1")
+			.post(RequestBody.create(body, null))
+			.build();
+		try (Response response = this.client.newCall(request).execute()) {
+			return response.code();
+		}
+		catch (IOException ex) {
+			return 0;
+		}
+	}
+
+	/** Guards against faults that record a wrong effect, which would hide double runs. */
+	@Test
+	void recordsEffectsUnderFaults() {
+		assertThat(book("a")).isEqualTo(201);
+		this.service.hit(PlainServiceFault.DROP_AFTER_EFFECT, 1);
+		assertThat(book("b")).isEqualTo(0);
+		this.service.hit(PlainServiceFault.DROP_BEFORE_EFFECT, 1);
+		assertThat(book("c")).isEqualTo(0);
+		this.service.hit(PlainServiceFault.SILENT, 1);
+		assertThat(book("d")).isEqualTo(0);
+		this.service.hit(PlainServiceFault.SILENT_AFTER_EFFECT, 1);
+		assertThat(book("e")).isEqualTo(0);
+		this.service.hit(PlainServiceFault.UNAVAILABLE, 1);
+		assertThat(book("f")).isEqualTo(503);
+		assertThat(this.service.effects().stream().map(RecordedRequest::body).toList()).containsExactly("a", "b", "e")
+			.inOrder();
+		assertThat(this.service.requests()).hasSize(6);
+		assertThat(this.service.requests().get(0).headers()).containsEntry("x-caller", "c1");
+	}
+
+}
