Add the pool scheduler, placement policies and baselines

Cause: placement was decided by each VM alone from its own request counts. Change: PoolScheduler is a pure state machine with start-time fair queueing over teams, decode reservation before prefill, early refusal, prefix cache knowledge, corrected load reports and quarantine.

--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/schedule/ActiveGrant.java
@@ -0,0 +1,41 @@
+package org.skylarkstack.schedule;
+
+/**
+ * Grant that is not released.
+ */
+final class ActiveGrant {
+
+	final HeldPlacement held;
+
+	final String holder;
+
+	/** The cost charged to the team, in engine milliseconds. */
+	final double charge;
+
+	final int promptTokens;
+
+	final int maxOutputTokens;
+
+	final long grantedNanos;
+
+	final long prefillNanos;
+
+	final boolean batch;
+
+	long prefillEndNanos;
+
+	long expiresNanos;
+
+	ActiveGrant(HeldPlacement held, String holder, double charge, int promptTokens, int maxOutputTokens,
+			long grantedNanos, long prefillNanos, boolean batch) {
+		this.held = held;
+		this.holder = holder;
+		this.charge = charge;
+		this.promptTokens = promptTokens;
+		this.maxOutputTokens = maxOutputTokens;
+		this.grantedNanos = grantedNanos;
+		this.prefillNanos = prefillNanos;
+		this.batch = batch;
+	}
+
+}
--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/schedule/EngineEstimate.java
@@ -0,0 +1,214 @@
+package org.skylarkstack.schedule;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+
+import org.skylarkstack.configuration.EngineNode;
+import org.skylarkstack.engine.EngineLoad;
+
+/**
+ * Estimated state of one engine: the last load report, corrected by the grants and
+ * releases that the report cannot have seen.
+ *
+ * <p>
+ * Slots and pieces in use are the own grants plus what a report shows beyond them
+ * (requests that other VMs placed alone, or that a dead VM left behind). Own grants
+ * released after the state shown by a report are not counted as foreign. The prefill
+ * backlog restarts at each report from the reported tokens, and the grants that the
+ * report cannot have seen are added again.
+ */
+final class EngineEstimate {
+
+	/** Time after which a grant has reached its engine through the VM that got it. */
+	private static final long REACH_NANOS = 10_000_000L;
+
+	private static final long NANOS_PER_SECOND = 1_000_000_000L;
+
+	private final SchedulerOptions options;
+
+	private final PrefixIndex prefixes;
+
+	private final Map<String, ActiveGrant> prefills = new LinkedHashMap<>();
+
+	private final Map<String, ActiveGrant> decodes = new LinkedHashMap<>();
+
+	private final Deque<Freed> freed = new ArrayDeque<>();
+
+	private final Set<String> isolated = new HashSet<>();
+
+	private EngineNode node;
+
+	private long prefillFreeNanos;
+
+	private int ownPieces;
+
+	private int foreignSlots;
+
+	private int foreignPieces;
+
+	private long lastReportNanos;
+
+	private int failures;
+
+	private long quarantinedUntilNanos;
+
+	private long nextProbeNanos;
+
+	EngineEstimate(EngineNode node, SchedulerOptions options, long nowNanos) {
+		this.node = node;
+		this.options = options;
+		this.prefixes = new PrefixIndex(options.maxPrefixBlocks());
+		this.prefillFreeNanos = nowNanos;
+		this.lastReportNanos = nowNanos;
+		this.quarantinedUntilNanos = nowNanos;
+		this.nextProbeNanos = nowNanos;
+	}
+
+	EngineNode node() {
+		return this.node;
+	}
+
+	void node(EngineNode changed) {
+		this.node = changed;
+	}
+
+	PrefixIndex prefixes() {
+		return this.prefixes;
+	}
+
+	void report(EngineLoad load, long readNanos) {
+		long shownNanos = readNanos - this.options.reportLagNanos();
+		if (readNanos < this.lastReportNanos) {
+			return;
+		}
+		this.lastReportNanos = readNanos;
+		while (!this.freed.isEmpty() && this.freed.peekFirst().nanos < shownNanos) {
+			this.freed.removeFirst();
+		}
+		int pieces = this.ownPieces + this.freed.stream().mapToInt((entry) -> entry.pieces).sum();
+		this.foreignSlots = Math.max(0, load.running() + load.waiting() - this.decodes.size() - this.freed.size());
+		this.foreignPieces = Math.max(0, load.usedPieces() - pieces);
+		this.prefillFreeNanos = shownNanos + nanosFor(load.queuedPrefillTokens());
+		this.prefills.values().removeIf((grant) -> grant.grantedNanos + REACH_NANOS <= shownNanos);
+		for (ActiveGrant grant : this.prefills.values()) {
+			this.prefillFreeNanos = Math.max(this.prefillFreeNanos, grant.grantedNanos) + grant.prefillNanos;
+		}
+	}
+
+	private long nanosFor(long promptTokens) {
+		return promptTokens * NANOS_PER_SECOND / this.node.prefillTokensPerSecond();
+	}
+
+	long prefillNanos(PlacementRequest request) {
+		int cached = Math.min(this.prefixes.cachedTokens(request.prefixHashes()), request.promptTokens() - 1);
+		return this.options.prefillOverheadNanos() + nanosFor(request.promptTokens() - cached);
+	}
+
+	long prefillStartNanos(long nowNanos) {
+		return Math.max(nowNanos, this.prefillFreeNanos);
+	}
+
+	void addPrefill(ActiveGrant grant, long nowNanos) {
+		this.prefills.put(grant.held.requestId(), grant);
+		this.prefillFreeNanos = prefillStartNanos(nowNanos) + grant.prefillNanos;
+		grant.prefillEndNanos = this.prefillFreeNanos;
+		markIsolated(grant);
+		countProbe(nowNanos);
+	}
+
+	void addDecode(ActiveGrant grant, long nowNanos) {
+		this.decodes.put(grant.held.requestId(), grant);
+		this.ownPieces += grant.held.pieces();
+		markIsolated(grant);
+		countProbe(nowNanos);
+	}
+
+	void markIsolated(ActiveGrant grant) {
+		if (grant.held.isolated()) {
+			this.isolated.add(grant.held.requestId());
+		}
+	}
+
+	private void countProbe(long nowNanos) {
+		if (quarantined(nowNanos)) {
+			this.nextProbeNanos = nowNanos + this.options.quarantineNanos();
+		}
+	}
+
+	void removePrefill(ActiveGrant grant, long nowNanos) {
+		this.prefills.remove(grant.held.requestId());
+		if (nowNanos < grant.prefillEndNanos) {
+			this.prefillFreeNanos -= Math.min(grant.prefillNanos, grant.prefillEndNanos - nowNanos);
+		}
+		this.isolated.remove(grant.held.requestId());
+	}
+
+	void removeDecode(ActiveGrant grant, long nowNanos) {
+		if (this.decodes.remove(grant.held.requestId()) != null) {
+			this.ownPieces -= grant.held.pieces();
+			this.freed.addLast(new Freed(nowNanos, grant.held.pieces()));
+		}
+		this.isolated.remove(grant.held.requestId());
+	}
+
+	void failed(long nowNanos) {
+		this.failures = Math.min(this.failures + 1, 16);
+		long term = Math.min(this.options.maxQuarantineNanos(), this.options.quarantineNanos() << (this.failures - 1));
+		this.quarantinedUntilNanos = nowNanos + term;
+		this.nextProbeNanos = this.quarantinedUntilNanos;
+		this.prefixes.clear();
+	}
+
+	void succeeded() {
+		this.failures = 0;
+	}
+
+	/**
+	 * Returns whether the engine failed and has served no request since, or its reports
+	 * are missing.
+	 * @param nowNanos the present time
+	 * @return whether it is quarantined
+	 */
+	private boolean quarantined(long nowNanos) {
+		return this.failures > 0 || nowNanos - this.lastReportNanos > this.options.reportTimeoutNanos();
+	}
+
+	/**
+	 * Returns whether the engine may get new work. A quarantined engine gets one request
+	 * in each probe period.
+	 * @param isolatedRequest whether the work is an isolated request
+	 * @param nowNanos the present time
+	 * @return whether it may get the work
+	 */
+	boolean takesWork(boolean isolatedRequest, long nowNanos) {
+		if (this.node.leaving() || (isolatedRequest && !this.isolated.isEmpty())) {
+			return false;
+		}
+		return !quarantined(nowNanos) || nowNanos >= Math.max(this.nextProbeNanos, this.quarantinedUntilNanos);
+	}
+
+	int freeSlots() {
+		return this.node.decodeSlots() - this.decodes.size() - this.foreignSlots;
+	}
+
+	int freePieces() {
+		return this.node.memoryPieces() - this.ownPieces - this.foreignPieces;
+	}
+
+	double occupancy() {
+		return 1.0 - (double) freeSlots() / this.node.decodeSlots();
+	}
+
+	boolean prefillsBatch(long nowNanos) {
+		return this.prefills.values().stream().anyMatch((grant) -> grant.batch && grant.prefillEndNanos > nowNanos);
+	}
+
+	private record Freed(long nanos, int pieces) {
+
+	}
+
+}
--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/schedule/OraclePolicy.java
@@ -0,0 +1,81 @@
+package org.skylarkstack.schedule;
+
+import java.util.random.RandomGenerator;
+
+import org.jspecify.annotations.Nullable;
+import org.skylarkstack.configuration.EngineNode;
+import org.skylarkstack.kernel.ErrorType;
+
+/**
+ * Upper reference of experiments: decides with the true state of all engines, without
+ * delay and without regard to fairness. Interactive requests are placed on the pair with
+ * the earliest first token while that is in time; batch requests take idle engines.
+ */
+public final class OraclePolicy extends ImmediatePolicy {
+
+	private static final long NANOS_PER_SECOND = 1_000_000_000L;
+
+	private final SchedulerOptions options = SchedulerOptions.DEFAULT;
+
+	private @Nullable TrueEngineState state;
+
+	/**
+	 * Sets the source of the true state. Without it every request is refused.
+	 * @param source the source
+	 */
+	public void observe(TrueEngineState source) {
+		this.state = source;
+	}
+
+	@Override
+	EngineNode choose(java.util.List<EngineNode> candidates, boolean prefill, RandomGenerator random) {
+		throw new UnsupportedOperationException("the oracle chooses pairs");
+	}
+
+	@Override
+	@Nullable PlacementDecision decide(OfferedRequest offered, long nowNanos, RandomGenerator random) {
+		TrueEngineState truth = this.state;
+		if (truth == null) {
+			return PlacementDecision.refuse(offered, ErrorType.NO_ENGINE);
+		}
+		boolean batch = offered.request().requestClass().mayWait();
+		long deadline = offered.deadlineNanos(this.options.firstTokenNanos());
+		if (nowNanos > deadline) {
+			return PlacementDecision.refuse(offered, ErrorType.DEADLINE_UNREACHABLE);
+		}
+		EngineNode bestPrefill = null;
+		EngineNode bestDecode = null;
+		long bestNanos = Long.MAX_VALUE;
+		for (EngineNode prefill : candidates(true)) {
+			for (EngineNode decode : candidates(false)) {
+				long first = firstToken(offered.request(), prefill, decode, truth, batch, nowNanos);
+				if (first < bestNanos) {
+					bestNanos = first;
+					bestPrefill = prefill;
+					bestDecode = decode;
+				}
+			}
+		}
+		if (bestPrefill == null || bestDecode == null || (!batch && bestNanos > deadline)) {
+			return null;
+		}
+		return grant(offered, bestPrefill, bestDecode);
+	}
+
+	private long firstToken(PlacementRequest request, EngineNode prefill, EngineNode decode, TrueEngineState truth,
+			boolean batch, long nowNanos) {
+		int reserve = batch ? this.options.batchSlotReserve() : 0;
+		long start = Math.max(nowNanos, truth.prefillFreeNanos(prefill.id()));
+		if (truth.freeSlots(decode.id()) <= reserve || truth.freePieces(decode.id()) < PoolScheduler.pieces(request)
+				|| start - nowNanos > this.options.prefillLookaheadNanos()) {
+			return Long.MAX_VALUE;
+		}
+		long prefillEnd = start + this.options.prefillOverheadNanos()
+				+ request.promptTokens() * NANOS_PER_SECOND / prefill.prefillTokensPerSecond();
+		boolean local = prefill.dataCentre().equals(decode.dataCentre());
+		double rate = local ? this.options.transferTokensPerSecond() : this.options.remoteTransferTokensPerSecond();
+		return Math.max(prefillEnd, truth.linkFreeNanos(prefill.id(), decode.id())) + this.options.transferSetupNanos()
+				+ (long) (request.promptTokens() / rate * NANOS_PER_SECOND) + this.options.firstDecodeNanos();
+	}
+
+}
--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/schedule/PoolScheduler.java
@@ -0,0 +1,571 @@
+package org.skylarkstack.schedule;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Predicate;
+import java.util.random.RandomGenerator;
+
+import org.jspecify.annotations.Nullable;
+import org.skylarkstack.configuration.EngineNode;
+import org.skylarkstack.engine.EngineLoad;
+import org.skylarkstack.kernel.ErrorType;
+
+/**
+ * Scheduler of the engines of one model, for all VMs.
+ *
+ * <p>
+ * Invariants:
+ * <ul>
+ * <li>A request is queued, granted or unknown, never two of these.</li>
+ * <li>A grant holds a decode slot and the memory pieces of its prompt and output bound
+ * from before its prefill until it is released or its term ends.</li>
+ * <li>A team without queued requests and grants has no state, unless it is still charged
+ * for more than the present virtual time while others wait.</li>
+ * </ul>
+ *
+ * <p>
+ * Order: start-time fair queueing over teams. Each team has a finish tag in cost-weighted
+ * tokens divided by its weight. The team with the lowest tag is served next; the virtual
+ * time is the tag of the team served last, and a team that becomes active starts there.
+ * The charge of a grant is an estimate, corrected at release by the tokens served.
+ *
+ * <p>
+ * Cases of a request at the head of its team's queue:
+ * <ul>
+ * <li>Interactive, and no engine pair can produce the first token in time: refused.</li>
+ * <li>Interactive, and a pair is free: granted.</li>
+ * <li>Interactive, and a pair could be in time but has no slot, no memory or too much
+ * prefill backlog: waits. A lack of slots or prefill time blocks later requests too, a
+ * lack of pieces only this one.</li>
+ * <li>Batch: waits until no interactive request waits and a pair is idle enough. Near its
+ * deadline it competes like an interactive request; after its deadline it is
+ * refused.</li>
+ * </ul>
+ * The estimate of the first token is the prefill backlog, the prefill of the part of the
+ * prompt that is not cached, the wait for the transfer link, the transfer and the first
+ * decode step.
+ */
+public final class PoolScheduler implements PlacementPolicy {
+
+	private static final long NANOS_PER_SECOND = 1_000_000_000L;
+
+	private static final double MILLIS_PER_SECOND = 1_000.0;
+
+	/**
+	 * Weight of a finished request in the mean share of the output bound that is used.
+	 */
+	private static final double OUTPUT_SHARE_GAIN = 0.05;
+
+	/**
+	 * Penalty for choosing a full decode engine over an empty one, in nanoseconds. Steps
+	 * take longer the more requests are decoded.
+	 */
+	private static final double OCCUPANCY_PENALTY_NANOS = 30_000_000;
+
+	/**
+	 * Time that a batch request may be bypassed by smaller ones before they wait for it.
+	 */
+	private static final long BYPASS_NANOS = 5_000_000_000L;
+
+	private final SchedulerOptions options;
+
+	private final Map<String, EngineEstimate> engines = new LinkedHashMap<>();
+
+	private final Map<String, TeamQueue> teams = new HashMap<>();
+
+	private final Map<String, OfferedRequest> queued = new LinkedHashMap<>();
+
+	private final Map<String, ActiveGrant> grants = new LinkedHashMap<>();
+
+	private final Map<String, Long> linkFreeNanos = new HashMap<>();
+
+	private final List<PlacementDecision> ready = new ArrayList<>();
+
+	private double virtualTime;
+
+	private double outputShare = 0.5;
+
+	private long nextGrantId;
+
+	/** Creates a scheduler with the default options. */
+	public PoolScheduler() {
+		this(SchedulerOptions.DEFAULT);
+	}
+
+	/**
+	 * Creates a scheduler.
+	 * @param options the tunable values
+	 */
+	public PoolScheduler(SchedulerOptions options) {
+		this.options = options;
+	}
+
+	@Override
+	public boolean shared() {
+		return true;
+	}
+
+	@Override
+	public void engines(List<EngineNode> nodes, long nowNanos) {
+		Set<String> present = new HashSet<>();
+		for (EngineNode node : nodes) {
+			present.add(node.id());
+			EngineEstimate estimate = this.engines.get(node.id());
+			if (estimate != null && estimate.node().url().equals(node.url())) {
+				estimate.node(node);
+			}
+			else {
+				this.engines.put(node.id(), new EngineEstimate(node, this.options, nowNanos));
+			}
+		}
+		this.engines.keySet().retainAll(present);
+	}
+
+	@Override
+	public void offer(OfferedRequest offered, long nowNanos) {
+		PlacementRequest request = offered.request();
+		ActiveGrant granted = this.grants.get(request.requestId());
+		if (granted != null) {
+			this.ready.add(PlacementDecision.grant(offered, granted.held.grantId(), granted.held.prefillEngineId(),
+					granted.held.decodeEngineId()));
+			return;
+		}
+		if (this.queued.containsKey(request.requestId())) {
+			return;
+		}
+		TeamQueue team = team(request.teamId(), request.weight());
+		if (team.size() >= this.options.maxQueuedPerTeam() || this.queued.size() >= this.options.maxQueued()) {
+			this.ready.add(PlacementDecision.refuse(offered, ErrorType.QUEUE_FULL));
+			dropIfIdle(team);
+			return;
+		}
+		this.queued.put(request.requestId(), offered);
+		team.queue(request.requestClass()).addLast(offered);
+	}
+
+	private TeamQueue team(String teamId, double weight) {
+		TeamQueue team = this.teams.computeIfAbsent(teamId, TeamQueue::new);
+		if (team.size() == 0) {
+			team.finishTag = Math.max(team.finishTag, this.virtualTime);
+		}
+		team.weight = weight;
+		return team;
+	}
+
+	private void dropIfIdle(TeamQueue team) {
+		if (team.isIdle() && (team.finishTag <= this.virtualTime || this.queued.isEmpty())) {
+			this.teams.remove(team.teamId);
+		}
+	}
+
+	@Override
+	public void cancel(String requestId, long nowNanos) {
+		OfferedRequest offered = this.queued.get(requestId);
+		if (offered != null) {
+			dequeue(offered);
+		}
+		ActiveGrant grant = this.grants.get(requestId);
+		if (grant != null) {
+			free(grant, 0, nowNanos);
+		}
+	}
+
+	private void dequeue(OfferedRequest offered) {
+		PlacementRequest request = offered.request();
+		this.queued.remove(request.requestId());
+		TeamQueue team = this.teams.get(request.teamId());
+		if (team != null) {
+			team.queue(request.requestClass()).remove(offered);
+			dropIfIdle(team);
+		}
+	}
+
+	@Override
+	public void release(String requestId, long grantId, PlacementRelease release, long nowNanos) {
+		ActiveGrant grant = this.grants.get(requestId);
+		if (grant == null || grant.held.grantId() != grantId) {
+			return;
+		}
+		double outputTokens = Math.max(0, release.servedTokens() - grant.promptTokens);
+		double served = 0;
+		if (release.servedTokens() > 0) {
+			served = cost(grant.promptTokens, outputTokens);
+			this.outputShare += OUTPUT_SHARE_GAIN
+					* (outputTokens / Math.max(1, grant.maxOutputTokens) - this.outputShare);
+			this.outputShare = Math.min(1, Math.max(0, this.outputShare));
+		}
+		free(grant, served, nowNanos);
+		for (String engineId : List.of(grant.held.prefillEngineId(), grant.held.decodeEngineId())) {
+			EngineEstimate engine = this.engines.get(engineId);
+			if (engine != null && engineId.equals(release.failedEngineId())) {
+				engine.failed(nowNanos);
+			}
+			else if (engine != null && release.servedTokens() > 0) {
+				engine.succeeded();
+			}
+		}
+	}
+
+	private void free(ActiveGrant grant, double served, long nowNanos) {
+		this.grants.remove(grant.held.requestId());
+		EngineEstimate prefill = this.engines.get(grant.held.prefillEngineId());
+		if (prefill != null) {
+			prefill.removePrefill(grant, nowNanos);
+		}
+		EngineEstimate decode = this.engines.get(grant.held.decodeEngineId());
+		if (decode != null) {
+			decode.removeDecode(grant, nowNanos);
+		}
+		TeamQueue team = this.teams.get(grant.held.teamId());
+		if (team != null) {
+			team.grants--;
+			team.finishTag += (served - grant.charge) / team.weight;
+			dropIfIdle(team);
+		}
+	}
+
+	/**
+	 * Returns the cost of a request.
+	 * @param promptTokens the prompt tokens
+	 * @param outputTokens the output tokens
+	 * @return the cost in engine milliseconds
+	 */
+	private double cost(double promptTokens, double outputTokens) {
+		int speed = this.engines.values()
+			.stream()
+			.map(EngineEstimate::node)
+			.filter((node) -> node.role().prefills())
+			.mapToInt(EngineNode::prefillTokensPerSecond)
+			.findFirst()
+			.orElse(1);
+		return promptTokens * MILLIS_PER_SECOND / speed + outputTokens * this.options.decodeMillisPerToken();
+	}
+
+	@Override
+	public void renew(HeldPlacement held, String holder, long nowNanos) {
+		ActiveGrant known = this.grants.get(held.requestId());
+		if (known != null) {
+			known.expiresNanos = nowNanos + this.options.grantTermNanos();
+			return;
+		}
+		OfferedRequest offered = this.queued.get(held.requestId());
+		if (offered != null) {
+			dequeue(offered);
+		}
+		ActiveGrant grant = new ActiveGrant(held, holder, 0, 0, 0, nowNanos, 0, false);
+		EngineEstimate prefill = this.engines.get(held.prefillEngineId());
+		if (prefill != null) {
+			prefill.markIsolated(grant);
+		}
+		addGrant(grant, held.weight(), nowNanos);
+	}
+
+	private void addGrant(ActiveGrant grant, double weight, long nowNanos) {
+		EngineEstimate decode = this.engines.get(grant.held.decodeEngineId());
+		if (decode != null) {
+			decode.addDecode(grant, nowNanos);
+		}
+		grant.expiresNanos = nowNanos + this.options.grantTermNanos();
+		this.grants.put(grant.held.requestId(), grant);
+		team(grant.held.teamId(), weight).grants++;
+	}
+
+	@Override
+	public void loadReport(String engineId, EngineLoad load, long readNanos, long nowNanos) {
+		EngineEstimate engine = this.engines.get(engineId);
+		if (engine != null) {
+			engine.report(load, readNanos);
+		}
+	}
+
+	@Override
+	public void cacheEvent(CacheEvent event) {
+		EngineEstimate engine = this.engines.get(event.engineId());
+		if (engine != null) {
+			engine.prefixes().apply(event);
+		}
+	}
+
+	@Override
+	public void holderDead(String holder, long nowNanos) {
+		List.copyOf(this.queued.values())
+			.stream()
+			.filter((offered) -> offered.holder().equals(holder))
+			.forEach(this::dequeue);
+		List.copyOf(this.grants.values())
+			.stream()
+			.filter((grant) -> grant.holder.equals(holder))
+			.forEach((grant) -> free(grant, 0, nowNanos));
+	}
+
+	@Override
+	public List<PlacementDecision> poll(long nowNanos, RandomGenerator random) {
+		expireGrants(nowNanos);
+		refuseLate(nowNanos);
+		boolean drained = serve((team) -> urgentHead(team, nowNanos), nowNanos, random);
+		if (drained) {
+			serve((team) -> team.batch.peekFirst(), nowNanos, random);
+		}
+		List<PlacementDecision> decisions = List.copyOf(this.ready);
+		this.ready.clear();
+		return decisions;
+	}
+
+	private void expireGrants(long nowNanos) {
+		List.copyOf(this.grants.values())
+			.stream()
+			.filter((grant) -> nowNanos >= grant.expiresNanos)
+			.forEach((grant) -> free(grant, grant.charge, nowNanos));
+		this.teams.values()
+			.removeIf((team) -> team.isIdle() && (team.finishTag <= this.virtualTime || this.queued.isEmpty()));
+	}
+
+	private void refuseLate(long nowNanos) {
+		for (OfferedRequest offered : List.copyOf(this.queued.values())) {
+			if (nowNanos > offered.deadlineNanos(this.options.firstTokenNanos())) {
+				refuse(offered, ErrorType.DEADLINE_UNREACHABLE);
+			}
+		}
+	}
+
+	private void refuse(OfferedRequest offered, ErrorType reason) {
+		dequeue(offered);
+		this.ready.add(PlacementDecision.refuse(offered, reason));
+	}
+
+	private @Nullable OfferedRequest urgentHead(TeamQueue team, long nowNanos) {
+		OfferedRequest batch = team.batch.peekFirst();
+		if (batch != null && batch.deadlineNanos(0) - nowNanos < urgentNanos(batch)) {
+			return batch;
+		}
+		return team.interactive.peekFirst();
+	}
+
+	private long urgentNanos(OfferedRequest batch) {
+		return Math.min(this.options.batchUrgentNanos(), batch.request().waitNanos() / 4);
+	}
+
+	/**
+	 * Serves the heads of the teams in fair order.
+	 * @param heads finds the request of a team that is served next
+	 * @param nowNanos the present time
+	 * @param random the source of randomness
+	 * @return whether no head is left waiting
+	 */
+	private boolean serve(HeadOfTeam heads, long nowNanos, RandomGenerator random) {
+		Set<String> skipped = new HashSet<>();
+		while (true) {
+			TeamQueue team = next(heads, skipped);
+			if (team == null) {
+				return skipped.isEmpty();
+			}
+			OfferedRequest head = heads.of(team);
+			if (head == null) {
+				return skipped.isEmpty();
+			}
+			Outcome outcome = place(head, team, nowNanos, random);
+			if (outcome == Outcome.BLOCKED) {
+				return false;
+			}
+			if (outcome == Outcome.NO_MEMORY) {
+				if (head.request().requestClass().mayWait() && nowNanos - head.arrivedNanos() > BYPASS_NANOS) {
+					return false;
+				}
+				skipped.add(team.teamId);
+			}
+		}
+	}
+
+	private @Nullable TeamQueue next(HeadOfTeam heads, Set<String> skipped) {
+		return this.teams.values()
+			.stream()
+			.filter((team) -> heads.of(team) != null && !skipped.contains(team.teamId))
+			.min(Comparator.comparingDouble((TeamQueue team) -> team.finishTag).thenComparing((team) -> team.teamId))
+			.orElse(null);
+	}
+
+	private Outcome place(OfferedRequest head, TeamQueue team, long nowNanos, RandomGenerator random) {
+		PlacementRequest request = head.request();
+		List<EngineEstimate> prefills = candidates((node) -> node.role().prefills(), request, nowNanos);
+		List<EngineEstimate> decodes = candidates((node) -> node.role().decodes(), request, nowNanos);
+		boolean batch = request.requestClass().mayWait();
+		if (prefills.isEmpty() || decodes.isEmpty()) {
+			if (!batch) {
+				refuse(head, ErrorType.NO_ENGINE);
+				return Outcome.REFUSED;
+			}
+			return Outcome.BLOCKED;
+		}
+		Pair best = bestPair(request, prefills, decodes, nowNanos, random);
+		if (!batch && best.firstTokenNanos > head.deadlineNanos(this.options.firstTokenNanos())
+				- this.options.firstTokenMarginNanos()) {
+			refuse(head, ErrorType.DEADLINE_UNREACHABLE);
+			return Outcome.REFUSED;
+		}
+		int pieces = pieces(request);
+		boolean urgent = !batch || head.deadlineNanos(0) - nowNanos < urgentNanos(head);
+		int slotReserve = urgent ? 0 : this.options.batchSlotReserve();
+		List<EngineEstimate> slots = decodes.stream().filter((engine) -> engine.freeSlots() > slotReserve).toList();
+		List<EngineEstimate> idle = prefills.stream().filter((engine) -> hasPrefillTime(engine, nowNanos)).toList();
+		if (slots.isEmpty() || idle.isEmpty() || (batch && tooManyBatchPrefills(prefills, nowNanos))) {
+			return Outcome.BLOCKED;
+		}
+		List<EngineEstimate> fitting = slots.stream().filter((engine) -> engine.freePieces() >= pieces).toList();
+		if (fitting.isEmpty()) {
+			return Outcome.NO_MEMORY;
+		}
+		Pair chosen = bestPair(request, idle, fitting, nowNanos, random);
+		boolean late = !batch && chosen.firstTokenNanos > head.deadlineNanos(this.options.firstTokenNanos())
+				- this.options.firstTokenMarginNanos();
+		if (late || chosen.transferEndNanos - chosen.prefillEndNanos > this.options.prefillResultNanos()) {
+			return Outcome.BLOCKED;
+		}
+		grant(head, team, chosen, pieces, nowNanos);
+		return Outcome.GRANTED;
+	}
+
+	private boolean hasPrefillTime(EngineEstimate engine, long nowNanos) {
+		return engine.prefillStartNanos(nowNanos) - nowNanos <= this.options.prefillLookaheadNanos();
+	}
+
+	private boolean tooManyBatchPrefills(Collection<EngineEstimate> prefills, long nowNanos) {
+		long running = prefills.stream().filter((engine) -> engine.prefillsBatch(nowNanos)).count();
+		return running >= Math.max(1, Math.floor(prefills.size() * this.options.batchMaxPrefillShare()));
+	}
+
+	private List<EngineEstimate> candidates(Predicate<EngineNode> role, PlacementRequest request, long nowNanos) {
+		return this.engines.values()
+			.stream()
+			.filter((engine) -> role.test(engine.node()) && engine.takesWork(request.isolated(), nowNanos))
+			.toList();
+	}
+
+	private Pair bestPair(PlacementRequest request, List<EngineEstimate> prefills, List<EngineEstimate> decodes,
+			long nowNanos, RandomGenerator random) {
+		Pair best = null;
+		for (EngineEstimate prefill : prefills) {
+			for (EngineEstimate decode : decodes) {
+				Pair pair = pair(request, prefill, decode, nowNanos, random);
+				if (best == null || pair.score < best.score) {
+					best = pair;
+				}
+			}
+		}
+		if (best == null) {
+			throw new IllegalArgumentException("no engines to choose from");
+		}
+		return best;
+	}
+
+	private Pair pair(PlacementRequest request, EngineEstimate prefill, EngineEstimate decode, long nowNanos,
+			RandomGenerator random) {
+		long prefillEnd = prefill.prefillStartNanos(nowNanos) + prefill.prefillNanos(request);
+		long transferEnd = prefillEnd;
+		if (prefill != decode) {
+			long linkFree = this.linkFreeNanos.getOrDefault(link(prefill.node(), decode.node()), prefillEnd);
+			transferEnd = Math.max(prefillEnd, linkFree)
+					+ transferNanos(request.promptTokens(), prefill.node(), decode.node());
+		}
+		long firstToken = transferEnd + this.options.firstDecodeNanos();
+		double score = firstToken - nowNanos + decode.occupancy() * OCCUPANCY_PENALTY_NANOS + random.nextDouble();
+		return new Pair(prefill, decode, prefillEnd, transferEnd, firstToken, score);
+	}
+
+	private long transferNanos(int promptTokens, EngineNode prefill, EngineNode decode) {
+		double rate = prefill.dataCentre().equals(decode.dataCentre()) ? this.options.transferTokensPerSecond()
+				: this.options.remoteTransferTokensPerSecond();
+		return this.options.transferSetupNanos() + (long) (promptTokens / rate * NANOS_PER_SECOND);
+	}
+
+	private static String link(EngineNode prefill, EngineNode decode) {
+		return prefill.dataCentre().equals(decode.dataCentre()) ? prefill.id()
+				: prefill.dataCentre() + '>' + decode.dataCentre();
+	}
+
+	/**
+	 * Returns the memory that a request may need.
+	 * @param request the request
+	 * @return the pieces of its prompt and output bound
+	 */
+	static int pieces(PlacementRequest request) {
+		int tokens = request.promptTokens() + request.maxOutputTokens();
+		return (tokens + EngineNode.TOKENS_PER_PIECE - 1) / EngineNode.TOKENS_PER_PIECE;
+	}
+
+	private void grant(OfferedRequest head, TeamQueue team, Pair chosen, int pieces, long nowNanos) {
+		PlacementRequest request = head.request();
+		this.queued.remove(request.requestId());
+		team.queue(request.requestClass()).remove(head);
+		double charge = cost(request.promptTokens(), request.maxOutputTokens() * this.outputShare);
+		this.virtualTime = Math.max(this.virtualTime, team.finishTag);
+		team.finishTag += charge / team.weight;
+		HeldPlacement held = new HeldPlacement(request.requestId(), ++this.nextGrantId, chosen.prefill.node().id(),
+				chosen.decode.node().id(), request.teamId(), request.weight(), pieces, request.isolated());
+		ActiveGrant grant = new ActiveGrant(held, head.holder(), charge, request.promptTokens(),
+				request.maxOutputTokens(), nowNanos, chosen.prefill.prefillNanos(request),
+				request.requestClass().mayWait());
+		chosen.prefill.addPrefill(grant, nowNanos);
+		chosen.prefill.prefixes().expect(request.prefixHashes());
+		if (chosen.prefill != chosen.decode) {
+			this.linkFreeNanos.put(link(chosen.prefill.node(), chosen.decode.node()), chosen.transferEndNanos);
+		}
+		addGrant(grant, request.weight(), nowNanos);
+		this.ready.add(PlacementDecision.grant(head, held.grantId(), held.prefillEngineId(), held.decodeEngineId()));
+	}
+
+	@Override
+	public List<OfferedRequest> queued() {
+		return List.copyOf(this.queued.values());
+	}
+
+	@Override
+	public int grantCount() {
+		return this.grants.size();
+	}
+
+	/**
+	 * Returns the number of teams that hold state.
+	 * @return the count
+	 */
+	int teamCount() {
+		return this.teams.size();
+	}
+
+	/**
+	 * Returns the unreserved decode slots of an engine.
+	 * @param engineId the engine
+	 * @return the free slots; 0 for an unknown engine
+	 */
+	int freeSlots(String engineId) {
+		EngineEstimate engine = this.engines.get(engineId);
+		return (engine != null) ? engine.freeSlots() : 0;
+	}
+
+	private enum Outcome {
+
+		GRANTED, REFUSED, BLOCKED, NO_MEMORY
+
+	}
+
+	/**
+	 * Finds the request of a team that is served next in a pass.
+	 */
+	private interface HeadOfTeam {
+
+		@Nullable OfferedRequest of(TeamQueue team);
+
+	}
+
+	private record Pair(EngineEstimate prefill, EngineEstimate decode, long prefillEndNanos, long transferEndNanos,
+			long firstTokenNanos, double score) {
+
+	}
+
+}
--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/schedule/RandomPolicy.java
@@ -0,0 +1,18 @@
+package org.skylarkstack.schedule;
+
+import java.util.List;
+import java.util.random.RandomGenerator;
+
+import org.skylarkstack.configuration.EngineNode;
+
+/**
+ * Baseline that takes any engine.
+ */
+final class RandomPolicy extends ImmediatePolicy {
+
+	@Override
+	EngineNode choose(List<EngineNode> candidates, boolean prefill, RandomGenerator random) {
+		return candidates.get(random.nextInt(candidates.size()));
+	}
+
+}
--- /dev/null
+++ b/runtime/src/test/java/org/skylarkstack/schedule/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Tests of placement.
+ */
+@NullMarked
+package org.skylarkstack.schedule;
+
+import org.jspecify.annotations.NullMarked;
