--- a/runtime/src/main/java/org/skylarkstack/settings/SettingsReader.java
+++ b/runtime/src/main/java/org/skylarkstack/settings/SettingsReader.java
@@ -38,7 +38,7 @@
 			JsonNode node = this.mapper.readTree(json);
 			return this.schema.validate(node)
 				.stream()
-				.map((message) -> new SettingsProblem(message.getInstanceLocation().toString(), message.getMessage()))
+				.map((message) -> new SettingsProblem(message.getInstanceLocation().toString(), message.getError()))
 				.sorted(java.util.Comparator.comparing(SettingsProblem::toString))
 				.toList();
 		}
--- a/tool/src/main/java/org/skylarkstack/tool/Command.java
+++ b/tool/src/main/java/org/skylarkstack/tool/Command.java
@@ -28,16 +28,16 @@
 
 	abstract Options options();
 
-	abstract ExitCode execute(CommandLine line);
+	abstract ExitCode execute(CommandLine line) throws ParseException;
 
 	ExitCode run(List<String> arguments) {
 		Options options = options().addOption("h", "help", false, "print this help");
+		if (arguments.contains("--help") || arguments.contains("-h")) {
+			printHelp(options);
+			return ExitCode.OK;
+		}
 		try {
 			CommandLine line = new DefaultParser().parse(options, arguments.toArray(String[]::new));
-			if (line.hasOption("help")) {
-				printHelp(options);
-				return ExitCode.OK;
-			}
 			return execute(line);
 		}
 		catch (ParseException ex) {
--- a/tool/src/main/java/org/skylarkstack/tool/DemoCommand.java
+++ b/tool/src/main/java/org/skylarkstack/tool/DemoCommand.java
@@ -28,7 +28,7 @@
 					result.asExpected() ? "ok" : "FAILED", result.outcome()));
 			if (line.hasOption("keep")) {
 				printAddresses(fleet);
-				waitUntilInterrupted();
+				Interrupts.await();
 			}
 			return results.stream().allMatch(DemoResult::asExpected) ? ExitCode.OK : ExitCode.FAILED;
 		}
@@ -45,13 +45,4 @@
 				fleet.callerUrl(fleet.vmIds().get(0)), DemoRequests.CALLER_KEY, DemoRequests.MODEL);
 	}
 
-	private static void waitUntilInterrupted() {
-		try {
-			Thread.currentThread().join();
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-		}
-	}
-
 }
--- /dev/null
+++ b/tool/src/test/java/org/skylarkstack/tool/MainTests.java
@@ -0,0 +1,53 @@
+package org.skylarkstack.tool;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests for {@link Main}.
+ */
+class MainTests {
+
+	@TempDir
+	private Path folder;
+
+	/**
+	 * Guards against scripts that cannot tell a wrong command line from a failed command.
+	 */
+	@Test
+	void wrongCommandLinesExitWithTwo() {
+		assertThat(Main.run(List.of())).isEqualTo(2);
+		assertThat(Main.run(List.of("no-such-command"))).isEqualTo(2);
+		assertThat(Main.run(List.of("check"))).isEqualTo(2);
+		assertThat(Main.run(List.of("standin", "--type", "database"))).isEqualTo(2);
+		assertThat(Main.run(List.of("standin", "--type", "engine", "--port", "x"))).isEqualTo(2);
+	}
+
+	/** Guards against a help text that counts as an error. */
+	@Test
+	void helpExitsWithZero() {
+		assertThat(Main.run(List.of("--help"))).isEqualTo(0);
+		for (String command : List.of("check", "daemon", "demo", "standin")) {
+			assertThat(Main.run(List.of(command, "--help"))).isEqualTo(0);
+		}
+	}
+
+	/**
+	 * Guards against a faulty settings file that is reported as valid, and the reverse.
+	 */
+	@Test
+	void checkTellsValidFromFaultySettings() throws IOException {
+		Path faulty = Files.writeString(this.folder.resolve("faulty.json"), "{\"vmId\": 7}");
+		assertThat(Main.run(List.of("check", "--settings", faulty.toString()))).isEqualTo(1);
+		assertThat(Main.run(List.of("check", "--settings", "../docs/daemon.example.json"))).isEqualTo(0);
+		assertThat(Main.run(List.of("check", "--settings", this.folder.resolve("absent").toString()))).isEqualTo(1);
+	}
+
+}
--- /dev/null
+++ b/tool/src/test/java/org/skylarkstack/tool/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Tests of the command line.
+ */
+@NullMarked
+package org.skylarkstack.tool;
+
+import org.jspecify.annotations.NullMarked;
