--- a/daemon/src/main/java/org/skylarkstack/daemon/Daemon.java
+++ b/daemon/src/main/java/org/skylarkstack/daemon/Daemon.java
@@ -1,18 +1,14 @@
 package org.skylarkstack.daemon;
 
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
-
 import io.javalin.Javalin;
 import jakarta.inject.Inject;
 import jakarta.inject.Singleton;
-import org.skylarkstack.configuration.TicketLog;
+import org.skylarkstack.configuration.ConfigurationDuty;
 import org.skylarkstack.http.CallerApi;
 import org.skylarkstack.http.OperatorApi;
+import org.skylarkstack.peer.PeerTransport;
 import org.skylarkstack.settings.DaemonSettings;
 import org.skylarkstack.settings.ListenAddress;
-import org.skylarkstack.store.StoreException;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -24,18 +20,15 @@
 
 	private static final Logger LOG = LoggerFactory.getLogger(Daemon.class);
 
-	private static final long TICKET_POLL_MILLIS = 500;
-
 	private final DaemonSettings settings;
 
 	private final CallerApi callerApi;
 
 	private final OperatorApi operatorApi;
 
-	private final TicketLog tickets;
+	private final ConfigurationDuty configuration;
 
-	private final ScheduledExecutorService poller = Executors
-		.newSingleThreadScheduledExecutor((task) -> new Thread(task, "ticket-poll"));
+	private final PeerTransport transport;
 
 	private final Javalin callerServer;
 
@@ -46,14 +39,17 @@
 	 * @param settings the settings
 	 * @param callerApi the API for callers
 	 * @param operatorApi the API for operators
-	 * @param tickets the ticket log
+	 * @param configuration keeps the configuration up to date
+	 * @param transport connects to peers
 	 */
 	@Inject
-	public Daemon(DaemonSettings settings, CallerApi callerApi, OperatorApi operatorApi, TicketLog tickets) {
+	public Daemon(DaemonSettings settings, CallerApi callerApi, OperatorApi operatorApi,
+			ConfigurationDuty configuration, PeerTransport transport) {
 		this.settings = settings;
 		this.callerApi = callerApi;
 		this.operatorApi = operatorApi;
-		this.tickets = tickets;
+		this.configuration = configuration;
+		this.transport = transport;
 		this.callerServer = Javalin.create((config) -> {
 			config.startup.showJavalinBanner = false;
 			this.callerApi.register(config);
@@ -80,7 +76,7 @@
 		ListenAddress operator = this.settings.operatorAddress();
 		this.callerServer.start(caller.host(), caller.port());
 		this.operatorServer.start(operator.host(), operator.port());
-		this.poller.scheduleWithFixedDelay(this::poll, 0, TICKET_POLL_MILLIS, TimeUnit.MILLISECONDS);
+		this.configuration.start(this.transport);
 		LOG.atInfo()
 			.addKeyValue("event", "daemon_started")
 			.addKeyValue("vm", this.settings.vmId())
@@ -89,15 +85,6 @@
 			.log();
 	}
 
-	private void poll() {
-		try {
-			this.tickets.catchUp();
-		}
-		catch (StoreException ex) {
-			LOG.atWarn().addKeyValue("event", "ticket_poll_failed").addKeyValue("reason", ex.getMessage()).log();
-		}
-	}
-
 	/**
 	 * Returns the port for callers.
 	 * @return the port
@@ -116,7 +103,7 @@
 
 	@Override
 	public void close() {
-		this.poller.shutdownNow();
+		this.configuration.close();
 		this.callerServer.stop();
 		this.operatorServer.stop();
 	}
--- a/runtime/src/main/java/org/skylarkstack/configuration/Configuration.java
+++ b/runtime/src/main/java/org/skylarkstack/configuration/Configuration.java
@@ -1,11 +1,17 @@
 package org.skylarkstack.configuration;
 
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableSet;
 import java.util.Optional;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 /**
@@ -20,33 +26,65 @@
 public final class Configuration {
 
 	/** The configuration before the first ticket. */
-	public static final Configuration EMPTY = new Configuration(0, Map.of());
+	public static final Configuration EMPTY = new Configuration(0, new TreeSet<>(), Map.of());
 
 	private final long appliedNumber;
 
+	private final NavigableSet<Long> ahead;
+
 	private final Map<ObjectKey, VersionedObject> objects;
 
-	private final Map<String, ApiKey> keysByHash;
+	private final Map<String, ApiKey> keysByHash = new HashMap<>();
 
 	private final List<Route> routes;
 
 	private final Map<String, List<EngineNode>> enginesByModel;
 
-	private Configuration(long appliedNumber, Map<ObjectKey, VersionedObject> objects) {
-		this.appliedNumber = appliedNumber;
+	private Configuration(long appliedNumber, NavigableSet<Long> contained, Map<ObjectKey, VersionedObject> objects) {
 		this.objects = objects;
-		this.keysByHash = new HashMap<>();
-		live(ApiKey.class).forEach((key) -> this.keysByHash.put(key.keyHash(), key));
-		this.routes = live(Route.class)
-			.sorted(Comparator.comparingInt((Route route) -> -route.pathPrefix().length())
-				.thenComparing(Route::pathPrefix)
-				.thenComparing(Route::id))
-			.toList();
-		this.enginesByModel = new HashMap<>();
-		live(EngineNode.class).sorted(Comparator.comparing(EngineNode::id))
-			.forEach((engine) -> this.enginesByModel
-				.computeIfAbsent(engine.model(), (model) -> new java.util.ArrayList<>())
-				.add(engine));
+		this.ahead = new TreeSet<>(contained.tailSet(appliedNumber, false));
+		long applied = appliedNumber;
+		while (this.ahead.remove(applied + 1)) {
+			applied++;
+		}
+		this.appliedNumber = applied;
+		List<Route> liveRoutes = new ArrayList<>();
+		List<EngineNode> liveEngines = new ArrayList<>();
+		for (VersionedObject state : objects.values()) {
+			ConfigurationObject object = state.object();
+			if (object instanceof ApiKey key) {
+				this.keysByHash.merge(key.keyHash(), key, this::laterKey);
+			}
+			else if (object instanceof Route route) {
+				liveRoutes.add(route);
+			}
+			else if (object instanceof EngineNode engine) {
+				liveEngines.add(engine);
+			}
+		}
+		this.routes = sorted(liveRoutes,
+				Comparator.comparingInt((Route route) -> -route.pathPrefix().length())
+					.thenComparing(Route::pathPrefix)
+					.thenComparing(Route::id));
+		this.enginesByModel = sorted(liveEngines, Comparator.comparing(EngineNode::id)).stream()
+			.collect(Collectors.groupingBy(EngineNode::model, TreeMap::new, Collectors.toUnmodifiableList()));
+	}
+
+	private static <T> List<T> sorted(List<T> list, Comparator<T> order) {
+		return list.stream().sorted(order).toList();
+	}
+
+	/**
+	 * Two keys have the same hash only while the ticket that moved the hash is here and
+	 * an earlier one is not; the later ticket decides.
+	 */
+	private ApiKey laterKey(ApiKey first, ApiKey second) {
+		return (setBy(first) >= setBy(second)) ? first : second;
+	}
+
+	private long setBy(ApiKey key) {
+		VersionedObject state = this.objects.get(new ObjectKey(ObjectKind.KEY, key.id()));
+		return (state != null) ? state.ticketNumber() : 0;
 	}
 
 	/**
@@ -56,21 +94,38 @@
 	 * @return the configuration
 	 */
 	public static Configuration of(long appliedNumber, Map<ObjectKey, VersionedObject> objects) {
-		return new Configuration(appliedNumber, Map.copyOf(objects));
+		return new Configuration(appliedNumber, new TreeSet<>(), new HashMap<>(objects));
 	}
 
 	/**
 	 * Returns this configuration with a ticket merged in.
 	 * @param ticket the ticket
-	 * @return the merged configuration
+	 * @return the merged configuration, this one if it contains the ticket
 	 */
 	public Configuration apply(Ticket ticket) {
+		return apply(List.of(ticket));
+	}
+
+	/**
+	 * Returns this configuration with tickets merged in, in any order. The objects are
+	 * copied once for all tickets.
+	 * @param tickets the tickets
+	 * @return the merged configuration, this one if it contains all the tickets
+	 */
+	public Configuration apply(Collection<Ticket> tickets) {
+		if (tickets.stream().allMatch((ticket) -> contains(ticket.number()))) {
+			return this;
+		}
 		Map<ObjectKey, VersionedObject> merged = new HashMap<>(this.objects);
-		for (TicketChange change : ticket.changes()) {
-			merged.merge(change.key(), new VersionedObject(ticket.number(), change.object()), VersionedObject::newer);
+		NavigableSet<Long> contained = new TreeSet<>(this.ahead);
+		for (Ticket ticket : tickets) {
+			contained.add(ticket.number());
+			for (TicketChange change : ticket.changes()) {
+				merged.merge(change.key(), new VersionedObject(ticket.number(), change.object()),
+						VersionedObject::newer);
+			}
 		}
-		long applied = (ticket.number() == this.appliedNumber + 1) ? ticket.number() : this.appliedNumber;
-		return new Configuration(applied, merged);
+		return new Configuration(this.appliedNumber, contained, merged);
 	}
 
 	/**
@@ -79,9 +134,34 @@
 	 * @return the merged configuration
 	 */
 	public Configuration merge(Configuration other) {
+		if (other == this || other.objects.isEmpty() && other.appliedNumber == 0) {
+			return this;
+		}
+		if (this.objects.isEmpty() && this.appliedNumber == 0) {
+			return other;
+		}
 		Map<ObjectKey, VersionedObject> merged = new HashMap<>(this.objects);
 		other.objects.forEach((key, value) -> merged.merge(key, value, VersionedObject::newer));
-		return new Configuration(Math.max(this.appliedNumber, other.appliedNumber), merged);
+		NavigableSet<Long> contained = new TreeSet<>(this.ahead);
+		contained.addAll(other.ahead);
+		return new Configuration(Math.max(this.appliedNumber, other.appliedNumber), contained, merged);
+	}
+
+	/**
+	 * Returns whether a ticket is merged in.
+	 * @param number the number of the ticket
+	 * @return whether it is contained, in order or ahead of a missing one
+	 */
+	public boolean contains(long number) {
+		return number <= this.appliedNumber || this.ahead.contains(number);
+	}
+
+	/**
+	 * Returns the numbers of contained tickets that follow a missing one.
+	 * @return the numbers in order
+	 */
+	public NavigableSet<Long> aheadNumbers() {
+		return Collections.unmodifiableNavigableSet(this.ahead);
 	}
 
 	/**
@@ -97,7 +177,7 @@
 	 * @return an unmodifiable map
 	 */
 	public Map<ObjectKey, VersionedObject> objects() {
-		return java.util.Collections.unmodifiableMap(this.objects);
+		return Collections.unmodifiableMap(this.objects);
 	}
 
 	/**
@@ -164,7 +244,7 @@
 	 * @return the engines ordered by identifier, leaving ones included
 	 */
 	public List<EngineNode> engines(String model) {
-		return List.copyOf(this.enginesByModel.getOrDefault(model, List.of()));
+		return this.enginesByModel.getOrDefault(model, List.of());
 	}
 
 	/**
@@ -172,7 +252,7 @@
 	 * @return the model names
 	 */
 	public Collection<String> models() {
-		return this.enginesByModel.keySet().stream().sorted().toList();
+		return Collections.unmodifiableCollection(this.enginesByModel.keySet());
 	}
 
 }
--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/configuration/ConfigurationDuty.java
@@ -0,0 +1,210 @@
+package org.skylarkstack.configuration;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
+import java.util.random.RandomGenerator;
+
+import org.skylarkstack.kernel.Duty;
+import org.skylarkstack.misc.TimeSource;
+import org.skylarkstack.peer.PeerTransport;
+import org.skylarkstack.store.StoreException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Threads that keep the configuration up to date: one polls the store, which may block,
+ * and one exchanges tickets with peers.
+ */
+public final class ConfigurationDuty implements AppliedNumbers, AutoCloseable {
+
+	private static final Logger LOG = LoggerFactory.getLogger(ConfigurationDuty.class);
+
+	/** Time between two polls of the store. */
+	private static final long POLL_MILLIS = 2_000;
+
+	/** Part of the poll period by which a poll is early or late at most. */
+	private static final double POLL_JITTER = 0.2;
+
+	/** Small because a message may hold up to 1 MiB. */
+	private static final int RING_MESSAGES = 128;
+
+	private static final Duration STEP = Duration.ofMillis(250);
+
+	/** Time between two checks whether a snapshot is due. */
+	private static final long SNAPSHOT_SECONDS = 10;
+
+	private final ScheduledExecutorService poller = executor("ticket-poll");
+
+	/** A thread of its own, because a slow object store must not delay tickets. */
+	private final ScheduledExecutorService snapshotWriter = executor("snapshot-write");
+
+	private final String vmId;
+
+	private final TicketLog log;
+
+	private final SnapshotKeeper snapshots;
+
+	private final KeyFreshness freshness;
+
+	private final ConfigurationHolder configuration;
+
+	private final ConfirmationTable confirmations;
+
+	private final TicketSync sync;
+
+	private final TimeSource time;
+
+	private final RandomGenerator random;
+
+	private final Duty<LongConsumer> duty;
+
+	private boolean snapshotRead;
+
+	/**
+	 * Creates the threads; {@link #start(PeerTransport)} starts them.
+	 * @param vmId this VM
+	 * @param log the log of tickets
+	 * @param snapshots reads and writes snapshots
+	 * @param freshness receives evidence from the store
+	 * @param configuration the configuration in force
+	 * @param confirmations receives the numbers of all VMs
+	 * @param sync exchanges tickets with peers
+	 * @param time the time source
+	 * @param random the source of jitter
+	 */
+	public ConfigurationDuty(String vmId, TicketLog log, SnapshotKeeper snapshots, KeyFreshness freshness,
+			ConfigurationHolder configuration, ConfirmationTable confirmations, TicketSync sync, TimeSource time,
+			RandomGenerator random) {
+		this.vmId = vmId;
+		this.log = log;
+		this.snapshots = snapshots;
+		this.freshness = freshness;
+		this.configuration = configuration;
+		this.confirmations = confirmations;
+		this.sync = sync;
+		this.time = time;
+		this.random = random;
+		this.duty = new Duty<>("ticket-sync", RING_MESSAGES, STEP, (event) -> event.accept(this.time.nanos()),
+				() -> this.sync.tick(this.time.nanos()));
+	}
+
+	private static ScheduledExecutorService executor(String name) {
+		return Executors.newSingleThreadScheduledExecutor((task) -> {
+			Thread thread = new Thread(task, name);
+			thread.setDaemon(true);
+			return thread;
+		});
+	}
+
+	/**
+	 * Registers the message handlers and starts the threads.
+	 * @param transport receives from peers
+	 */
+	public void start(PeerTransport transport) {
+		this.confirmations.report(this.vmId, appliedNumber(), this.time.nanos());
+		this.configuration.onChange((current) -> {
+			this.confirmations.reached(current.appliedNumber(), this.time.nanos());
+			this.confirmations.report(this.vmId, current.appliedNumber(), this.time.nanos());
+		});
+		this.log.onLearned(this::learned);
+		transport.handle(TicketPush.class, (from, push) -> offer((now) -> this.sync.onPush(from, push, now)));
+		transport.handle(TicketPull.class, (from, pull) -> offer((now) -> this.sync.onPull(from, pull, now)));
+		transport.handle(ConfigurationSnapshot.class,
+				(from, part) -> offer((now) -> this.sync.onSnapshot(from, part, now)));
+		this.duty.start();
+		this.poller.execute(this::poll);
+		this.snapshotWriter.scheduleWithFixedDelay(this::writeSnapshot, SNAPSHOT_SECONDS, SNAPSHOT_SECONDS,
+				TimeUnit.SECONDS);
+	}
+
+	private void offer(LongConsumer event) {
+		this.duty.offer(event);
+	}
+
+	private void learned(List<Ticket> tickets) {
+		offer((now) -> this.sync.learned(tickets, now));
+	}
+
+	private void poll() {
+		long nowNanos = this.time.nanos();
+		try {
+			readSnapshot();
+			long head = this.log.catchUp();
+			this.freshness.observe(head, nowNanos);
+		}
+		catch (StoreException ex) {
+			LOG.atWarn().addKeyValue("event", "ticket_poll_failed").addKeyValue("reason", ex.getMessage()).log();
+		}
+		catch (RuntimeException ex) {
+			// A fault in one ticket must not end the polling.
+			LOG.atError().addKeyValue("event", "ticket_poll_failed").setCause(ex).log();
+		}
+		finally {
+			schedulePoll();
+		}
+	}
+
+	private void writeSnapshot() {
+		try {
+			this.snapshots.step(this.time.nanos());
+		}
+		catch (RuntimeException ex) {
+			LOG.atError().addKeyValue("event", "snapshot_write_failed").setCause(ex).log();
+		}
+	}
+
+	private void schedulePoll() {
+		long delay = (long) (POLL_MILLIS * (1 - POLL_JITTER + 2 * POLL_JITTER * this.random.nextDouble()));
+		try {
+			this.poller.schedule(this::poll, delay, TimeUnit.MILLISECONDS);
+		}
+		catch (RejectedExecutionException ex) {
+			LOG.atDebug().addKeyValue("event", "ticket_poll_stopped").log();
+		}
+	}
+
+	private void readSnapshot() {
+		if (this.snapshotRead || appliedNumber() > 0) {
+			return;
+		}
+		try {
+			this.snapshots.read().ifPresent(this.log::startFrom);
+			this.snapshotRead = true;
+		}
+		catch (StoreException ex) {
+			// The tickets hold everything; the table service may answer all the same.
+			LOG.atWarn().addKeyValue("event", "snapshot_read_failed").addKeyValue("reason", ex.getMessage()).log();
+		}
+	}
+
+	@Override
+	public long appliedNumber() {
+		return this.configuration.current().appliedNumber();
+	}
+
+	@Override
+	public void report(String peer, long number, long nowNanos) {
+		this.confirmations.report(peer, number, nowNanos);
+		if (number > appliedNumber()) {
+			offer((now) -> this.sync.higher(peer, number, now));
+		}
+	}
+
+	@Override
+	public void forget(String peer) {
+		this.confirmations.forget(peer);
+	}
+
+	@Override
+	public void close() {
+		this.poller.shutdownNow();
+		this.snapshotWriter.shutdownNow();
+		this.duty.close();
+	}
+
+}
--- a/runtime/src/main/java/org/skylarkstack/configuration/Route.java
+++ b/runtime/src/main/java/org/skylarkstack/configuration/Route.java
@@ -1,6 +1,8 @@
 package org.skylarkstack.configuration;
 
+import java.util.Collections;
 import java.util.Set;
+import java.util.TreeSet;
 
 /**
  * Route from a path prefix to a plain service.
@@ -15,9 +17,12 @@
 public record Route(String id, String pathPrefix, Set<String> methods, String serviceId, boolean open,
 		boolean nonIdempotent) implements ConfigurationObject {
 
-	/** Checks the path and copies the methods. */
+	/**
+	 * Checks the path and copies the methods. The methods are sorted because the content
+	 * hash of a ticket must not depend on the iteration order of a set.
+	 */
 	public Route {
-		methods = Set.copyOf(methods);
+		methods = Collections.unmodifiableSet(new TreeSet<>(methods));
 		if (!pathPrefix.startsWith("/")) {
 			throw new IllegalArgumentException("pathPrefix of route %s must start with /".formatted(id));
 		}
--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/configuration/SnapshotAssembler.java
@@ -0,0 +1,52 @@
+package org.skylarkstack.configuration;
+
+import java.io.ByteArrayOutputStream;
+import java.util.Optional;
+
+/**
+ * Joins the parts of one snapshot. Parts of a pull arrive in order on one connection; a
+ * gap means that a part was lost, and the pull is given up.
+ */
+final class SnapshotAssembler {
+
+	/** Most parts of a snapshot; bounds the memory that a faulty peer can take. */
+	static final int MAX_PARTS = 128;
+
+	private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+
+	private long pullId;
+
+	private int nextPart;
+
+	private long lastNanos;
+
+	Optional<byte[]> add(ConfigurationSnapshot part, long nowNanos) {
+		if (part.part() == 0) {
+			reset();
+			this.pullId = part.pullId();
+		}
+		if (part.pullId() != this.pullId || part.part() != this.nextPart || part.parts() > MAX_PARTS) {
+			return Optional.empty();
+		}
+		this.bytes.writeBytes(part.bytes());
+		this.nextPart++;
+		this.lastNanos = nowNanos;
+		if (this.nextPart < part.parts()) {
+			return Optional.empty();
+		}
+		byte[] whole = this.bytes.toByteArray();
+		reset();
+		return Optional.of(whole);
+	}
+
+	boolean receiving(long nowNanos, long idleNanos) {
+		return this.nextPart > 0 && nowNanos - this.lastNanos < idleNanos;
+	}
+
+	private void reset() {
+		this.bytes.reset();
+		this.pullId = 0;
+		this.nextPart = 0;
+	}
+
+}
--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/configuration/SnapshotKeeper.java
@@ -0,0 +1,121 @@
+package org.skylarkstack.configuration;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Optional;
+
+import org.skylarkstack.membership.Membership;
+import org.skylarkstack.store.ObjectStore;
+import org.skylarkstack.store.StoreException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Reads the configuration snapshot at start-up and writes it now and then while this
+ * daemon is its soft owner. When two daemons regard themselves as the owner, an older
+ * snapshot may replace a newer one; start-up then reads more tickets.
+ */
+public final class SnapshotKeeper {
+
+	private static final Logger LOG = LoggerFactory.getLogger(SnapshotKeeper.class);
+
+	/** Key of the snapshot in the object store. */
+	static final String OBJECT_KEY = "configuration/snapshot.json.gz";
+
+	/** New tickets after which a snapshot is written at once. */
+	static final long TICKETS = 200;
+
+	/** Time after which fewer new tickets are written too. */
+	static final long PERIOD_NANOS = Duration.ofHours(1).toNanos();
+
+	/** Time between a failed write and the next one. */
+	static final long RETRY_NANOS = Duration.ofMinutes(1).toNanos();
+
+	private final SnapshotCodec codec = new SnapshotCodec();
+
+	private final ObjectStore store;
+
+	private final ConfigurationHolder configuration;
+
+	private final Membership membership;
+
+	private long writtenNumber;
+
+	private long nextNanos;
+
+	private long retryNanos;
+
+	private boolean started;
+
+	/**
+	 * Creates a keeper.
+	 * @param store the platform's object store
+	 * @param configuration the configuration in force
+	 * @param membership finds the soft owner
+	 */
+	public SnapshotKeeper(ObjectStore store, ConfigurationHolder configuration, Membership membership) {
+		this.store = store;
+		this.configuration = configuration;
+		this.membership = membership;
+	}
+
+	/**
+	 * Reads the snapshot. A damaged one is ignored because the tickets hold everything.
+	 * @return the state, if there is a readable snapshot
+	 * @throws StoreException if the store does not answer
+	 */
+	public synchronized Optional<Configuration> read() {
+		try {
+			Optional<byte[]> bytes = this.store.get(OBJECT_KEY);
+			if (bytes.isEmpty()) {
+				return Optional.empty();
+			}
+			Configuration snapshot = this.codec.read(bytes.get());
+			this.writtenNumber = snapshot.appliedNumber();
+			return Optional.of(snapshot);
+		}
+		catch (IOException ex) {
+			LOG.atWarn().addKeyValue("event", "snapshot_damaged").addKeyValue("reason", ex.getClass()).log();
+			return Optional.empty();
+		}
+	}
+
+	/**
+	 * Writes a snapshot if this daemon owns it and enough has changed.
+	 * @param nowNanos the present time
+	 * @return whether a snapshot was written
+	 */
+	public synchronized boolean step(long nowNanos) {
+		Configuration current = this.configuration.current();
+		if (!this.started) {
+			this.started = true;
+			this.nextNanos = nowNanos + PERIOD_NANOS;
+			this.retryNanos = nowNanos;
+		}
+		long unwritten = current.appliedNumber() - this.writtenNumber;
+		boolean due = unwritten >= TICKETS || (unwritten > 0 && nowNanos - this.nextNanos >= 0);
+		if (!due || nowNanos - this.retryNanos < 0 || !owns()) {
+			return false;
+		}
+		try {
+			this.store.put(OBJECT_KEY, this.codec.write(current));
+			this.writtenNumber = current.appliedNumber();
+			this.nextNanos = nowNanos + PERIOD_NANOS;
+			return true;
+		}
+		catch (StoreException ex) {
+			LOG.atWarn().addKeyValue("event", "snapshot_write_failed").addKeyValue("reason", ex.getMessage()).log();
+			// Counting the tickets as written keeps an outage from costing a write each
+			// step.
+			this.writtenNumber = current.appliedNumber() - 1;
+			this.nextNanos = nowNanos + RETRY_NANOS;
+			return false;
+		}
+	}
+
+	private boolean owns() {
+		var view = this.membership.view();
+		return view.softOwner(OBJECT_KEY).equals(view.self());
+	}
+
+}
--- a/runtime/src/main/java/org/skylarkstack/configuration/Team.java
+++ b/runtime/src/main/java/org/skylarkstack/configuration/Team.java
@@ -17,7 +17,7 @@
 
 	/** Checks the limits. */
 	public Team {
-		if (tokensPerSecond <= 0 || burstTokens <= 0 || weight <= 0) {
+		if (tokensPerSecond <= 0 || burstTokens <= 0 || !(weight > 0) || Double.isInfinite(weight)) {
 			throw new IllegalArgumentException("rate, burst and weight of team %s must be positive".formatted(id));
 		}
 	}
--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/configuration/TicketSync.java
@@ -0,0 +1,325 @@
+package org.skylarkstack.configuration;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+import org.jspecify.annotations.Nullable;
+import org.skylarkstack.membership.Member;
+import org.skylarkstack.membership.Membership;
+import org.skylarkstack.membership.MembershipView;
+import org.skylarkstack.peer.PeerTransport;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Spreads tickets between daemons. One thread calls it.
+ *
+ * <p>
+ * Invariants:
+ * <ul>
+ * <li>The configuration only grows by merging; late and repeated messages change
+ * nothing.</li>
+ * <li>While the configuration is empty, tickets alone are not used: a whole state that
+ * was proven once comes from a peer, or the store is read. Otherwise a starting daemon
+ * would serve with an old state in which withdrawn keys still work.</li>
+ * <li>Evidence of the head counts from the time at which this daemon sent the pull, less
+ * its age at the peer. The true time is never earlier, however long messages were on
+ * their way. Answers to pulls that this start did not send give no evidence.</li>
+ * </ul>
+ *
+ * <p>
+ * Cases of an answer to a pull: tickets, if the recent ones reach back far enough; else
+ * all parts of a snapshot, followed by an answer without tickets that carries the
+ * evidence.
+ */
+public final class TicketSync {
+
+	private static final Logger LOG = LoggerFactory.getLogger(TicketSync.class);
+
+	/** Peers that are told of a newly learned ticket. */
+	static final int PUSH_FAN_OUT = 3;
+
+	/** Time between two pulls while the store gives no evidence. */
+	static final long PULL_PERIOD_NANOS = Duration.ofSeconds(2).toNanos();
+
+	/** Time between two pulls while the configuration is empty. */
+	static final long EMPTY_PULL_PERIOD_NANOS = Duration.ofMillis(500).toNanos();
+
+	/** Age of evidence from which peers are asked; two missed polls of the store. */
+	static final long OLD_EVIDENCE_NANOS = Duration.ofSeconds(5).toNanos();
+
+	/** Time between two pulls from the same peer that reports a higher number. */
+	static final long REPEATED_PULL_NANOS = Duration.ofMillis(500).toNanos();
+
+	/** Time after which a snapshot whose parts stopped is asked for again. */
+	static final long SNAPSHOT_IDLE_NANOS = Duration.ofSeconds(3).toNanos();
+
+	/**
+	 * Bound of the tickets in one message in characters; a single larger ticket is sent
+	 * alone. A character takes at most three bytes, and a frame holds 1 MiB.
+	 */
+	static final int MESSAGE_CHARACTERS = 256 * 1024;
+
+	/** Bytes of a snapshot in one message; half of the largest frame. */
+	static final int PART_BYTES = 512 * 1024;
+
+	/** Allowance for the drift between the clocks of two VMs: 1 % of an age. */
+	private static final long DRIFT_DIVISOR = 100;
+
+	/** Pulls whose answers may still come. */
+	private static final int OPEN_PULLS = 64;
+
+	private final TicketCodec codec = new TicketCodec();
+
+	private final SnapshotCodec snapshots = new SnapshotCodec();
+
+	private final RecentTickets recent = new RecentTickets();
+
+	private final SnapshotAssembler assembler = new SnapshotAssembler();
+
+	private final Map<Long, Long> openPulls = new LinkedHashMap<>();
+
+	private final Map<String, Long> lastPullNanos = new HashMap<>();
+
+	private final ConfigurationHolder configuration;
+
+	private final KeyFreshness freshness;
+
+	private final Membership membership;
+
+	private final PeerTransport transport;
+
+	private final RandomGenerator random;
+
+	private long encodedNumber;
+
+	private byte[] encodedBytes = new byte[0];
+
+	private @Nullable Long nextPullNanos;
+
+	/**
+	 * Creates a component.
+	 * @param configuration the configuration in force
+	 * @param freshness receives evidence
+	 * @param membership the live members
+	 * @param transport sends to peers
+	 * @param random the source of randomness
+	 */
+	public TicketSync(ConfigurationHolder configuration, KeyFreshness freshness, Membership membership,
+			PeerTransport transport, RandomGenerator random) {
+		this.configuration = configuration;
+		this.freshness = freshness;
+		this.membership = membership;
+		this.transport = transport;
+		this.random = random;
+	}
+
+	/**
+	 * Asks peers while the store gives no evidence.
+	 * @param nowNanos the present time
+	 */
+	public void tick(long nowNanos) {
+		Long next = this.nextPullNanos;
+		if (next != null && nowNanos - next < 0) {
+			return;
+		}
+		boolean empty = applied() == 0;
+		long period = empty ? EMPTY_PULL_PERIOD_NANOS : PULL_PERIOD_NANOS;
+		this.nextPullNanos = nowNanos + jitter(period);
+		Optional<HeadEvidence> evidence = this.freshness.evidence(nowNanos);
+		if (!this.assembler.receiving(nowNanos, SNAPSHOT_IDLE_NANOS)
+				&& (empty || evidence.isEmpty() || evidence.get().ageNanos() > OLD_EVIDENCE_NANOS)) {
+			// One peer at a time while the answer is a whole snapshot.
+			randomPeers(empty ? 1 : PUSH_FAN_OUT).forEach((peer) -> pull(peer, nowNanos));
+		}
+	}
+
+	private long jitter(long periodNanos) {
+		return periodNanos * 4 / 5 + this.random.nextLong(periodNanos * 2 / 5);
+	}
+
+	/**
+	 * Spreads tickets that were learned from the store or from an operator.
+	 * @param tickets the tickets
+	 * @param nowNanos the present time
+	 */
+	public void learned(List<Ticket> tickets, long nowNanos) {
+		Map<Long, String> bodies = new LinkedHashMap<>();
+		tickets.forEach((ticket) -> bodies.put(ticket.number(), this.codec.write(ticket)));
+		bodies.forEach(this.recent::add);
+		push(List.copyOf(bodies.values()), nowNanos);
+	}
+
+	private void push(List<String> bodies, long nowNanos) {
+		List<String> first = new ArrayList<>();
+		int size = 0;
+		for (String body : bodies) {
+			size += body.length();
+			if (size > MESSAGE_CHARACTERS && !first.isEmpty()) {
+				break;
+			}
+			first.add(body);
+		}
+		// The rest of a long list is pulled by the receivers, which see the higher
+		// number.
+		if (!first.isEmpty()) {
+			randomPeers(PUSH_FAN_OUT).forEach((peer) -> this.transport.send(peer, push(0, first, nowNanos)));
+		}
+	}
+
+	private TicketPush push(long pullId, List<String> bodies, long nowNanos) {
+		return new TicketPush(pullId, bodies, applied(), this.freshness.evidence(nowNanos).orElse(null));
+	}
+
+	private List<String> randomPeers(int count) {
+		MembershipView view = this.membership.view();
+		List<String> peers = new ArrayList<>(view.members()
+			.values()
+			.stream()
+			.map(Member::vmId)
+			.filter((vmId) -> !vmId.equals(view.self()))
+			.toList());
+		List<String> chosen = new ArrayList<>();
+		while (chosen.size() < count && !peers.isEmpty()) {
+			chosen.add(peers.remove(this.random.nextInt(peers.size())));
+		}
+		return chosen;
+	}
+
+	/**
+	 * Asks a peer that has more tickets.
+	 * @param vmId the peer
+	 * @param number the number up to which the peer has all tickets
+	 * @param nowNanos the present time
+	 */
+	public void higher(String vmId, long number, long nowNanos) {
+		Long last = this.lastPullNanos.get(vmId);
+		boolean repeated = last != null && nowNanos - last < REPEATED_PULL_NANOS;
+		if (number > applied() && !repeated && !this.assembler.receiving(nowNanos, SNAPSHOT_IDLE_NANOS)) {
+			pull(vmId, nowNanos);
+		}
+	}
+
+	private void pull(String vmId, long nowNanos) {
+		long pullId = this.random.nextLong(1, Long.MAX_VALUE);
+		this.openPulls.put(pullId, nowNanos);
+		if (this.openPulls.size() > OPEN_PULLS) {
+			this.openPulls.remove(this.openPulls.keySet().iterator().next());
+		}
+		this.lastPullNanos.keySet().retainAll(this.membership.view().members().keySet());
+		this.lastPullNanos.put(vmId, nowNanos);
+		this.transport.send(vmId, new TicketPull(pullId, applied()));
+	}
+
+	/**
+	 * Answers a pull.
+	 * @param from the peer
+	 * @param pull the pull
+	 * @param nowNanos the present time
+	 */
+	public void onPull(String from, TicketPull pull, long nowNanos) {
+		Optional<List<String>> tickets = (pull.afterNumber() == 0 && applied() > 0) ? Optional.empty()
+				: this.recent.after(pull.afterNumber(), applied(), MESSAGE_CHARACTERS);
+		if (tickets.isPresent() || sendSnapshot(from, pull.pullId())) {
+			this.transport.send(from, push(pull.pullId(), tickets.orElse(List.of()), nowNanos));
+		}
+		higher(from, pull.afterNumber(), nowNanos);
+	}
+
+	private boolean sendSnapshot(String to, long pullId) {
+		Configuration current = this.configuration.current();
+		if (this.encodedNumber != current.appliedNumber()) {
+			this.encodedBytes = this.snapshots.write(current);
+			this.encodedNumber = current.appliedNumber();
+		}
+		byte[] bytes = this.encodedBytes;
+		int parts = (bytes.length + PART_BYTES - 1) / PART_BYTES;
+		for (int part = 0; part < parts; part++) {
+			int start = part * PART_BYTES;
+			byte[] piece = Arrays.copyOfRange(bytes, start, Math.min(bytes.length, start + PART_BYTES));
+			if (!this.transport.send(to, new ConfigurationSnapshot(pullId, part, parts, piece))) {
+				return false;
+			}
+		}
+		return true;
+	}
+
+	/**
+	 * Merges tickets from a peer.
+	 * @param from the peer
+	 * @param push the tickets
+	 * @param nowNanos the present time
+	 */
+	public void onPush(String from, TicketPush push, long nowNanos) {
+		long before = applied();
+		if (before > 0) {
+			merge(push.tickets(), nowNanos);
+		}
+		Long sentNanos = this.openPulls.remove(push.pullId());
+		HeadEvidence evidence = push.evidence();
+		if (sentNanos != null && evidence != null && evidence.ageNanos() >= 0) {
+			long age = evidence.ageNanos() + evidence.ageNanos() / DRIFT_DIVISOR;
+			this.freshness.observe(evidence.number(), sentNanos - age);
+		}
+		if (before > 0 && applied() > before && push.appliedNumber() > applied()) {
+			pull(from, nowNanos);
+		}
+		else {
+			higher(from, push.appliedNumber(), nowNanos);
+		}
+	}
+
+	private void merge(List<String> bodies, long nowNanos) {
+		Configuration current = this.configuration.current();
+		Map<Long, String> fresh = new LinkedHashMap<>();
+		List<Ticket> tickets = new ArrayList<>();
+		for (String body : bodies) {
+			Ticket ticket = this.codec.read(body);
+			if (!current.contains(ticket.number())) {
+				fresh.put(ticket.number(), body);
+				tickets.add(ticket);
+			}
+		}
+		if (!tickets.isEmpty()) {
+			this.configuration.update((former) -> former.apply(tickets));
+			fresh.forEach(this.recent::add);
+			push(List.copyOf(fresh.values()), nowNanos);
+		}
+	}
+
+	/**
+	 * Takes a part of a snapshot, and merges the snapshot when it is whole.
+	 * @param from the peer
+	 * @param part the part
+	 * @param nowNanos the present time
+	 */
+	public void onSnapshot(String from, ConfigurationSnapshot part, long nowNanos) {
+		if (!this.openPulls.containsKey(part.pullId())) {
+			return;
+		}
+		Optional<byte[]> whole = this.assembler.add(part, nowNanos);
+		if (whole.isEmpty()) {
+			return;
+		}
+		try {
+			Configuration snapshot = this.snapshots.read(whole.get());
+			this.configuration.update((former) -> former.merge(snapshot));
+		}
+		catch (IOException ex) {
+			LOG.atWarn().addKeyValue("event", "peer_snapshot_damaged").addKeyValue("peer", from).log();
+		}
+	}
+
+	private long applied() {
+		return this.configuration.current().appliedNumber();
+	}
+
+}
--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/configuration/TicketValidator.java
@@ -0,0 +1,189 @@
+package org.skylarkstack.configuration;
+
+import java.net.URI;
+import java.net.URISyntaxException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+
+/**
+ * Finds every reason why a ticket must be refused, given the configuration just before
+ * it. References are checked in both directions: what a changed object names must exist
+ * afterwards, and nothing that stays may name a deleted object.
+ */
+final class TicketValidator {
+
+	/**
+	 * Largest body in bytes. An item of the table service holds at most 400 KB, names and
+	 * keys included.
+	 */
+	static final int MAX_BODY_BYTES = 350 * 1024;
+
+	private static final int SHOWN_HASH_DIGITS = 8;
+
+	List<String> problems(TicketDraft draft, Configuration before, String body) {
+		List<String> problems = new ArrayList<>(draft.problems());
+		int bytes = body.getBytes(StandardCharsets.UTF_8).length;
+		if (bytes > MAX_BODY_BYTES) {
+			problems.add("the body has %d bytes; at most %d are allowed".formatted(bytes, MAX_BODY_BYTES));
+		}
+		Set<ObjectKey> seen = new HashSet<>();
+		draft.changes()
+			.stream()
+			.map(TicketChange::key)
+			.filter((key) -> !seen.add(key))
+			.forEach((key) -> problems.add("%s is changed twice".formatted(name(key))));
+		Set<String> found = new TreeSet<>();
+		After after = new After(draft, before);
+		for (TicketChange change : draft.changes()) {
+			ConfigurationObject object = change.object();
+			if (object == null) {
+				checkDeletion(change.key(), before, found);
+			}
+			else {
+				checkObject(object, after, found);
+			}
+		}
+		checkRemaining(after, found);
+		problems.addAll(found);
+		return problems;
+	}
+
+	private void checkDeletion(ObjectKey key, Configuration before, Set<String> found) {
+		if (before.find(ConfigurationObject.class, key.kind(), key.id()).isEmpty()) {
+			found.add("%s does not exist and cannot be deleted".formatted(name(key)));
+		}
+	}
+
+	private void checkObject(ConfigurationObject object, After after, Set<String> found) {
+		String name = name(new ObjectKey(object.objectKind(), object.id()));
+		if (object instanceof ApiKey key) {
+			after.require(ObjectKind.TEAM, key.teamId(), name, found);
+		}
+		else if (object instanceof Route route) {
+			after.require(ObjectKind.SERVICE, route.serviceId(), name, found);
+		}
+		else if (object instanceof EngineNode engine) {
+			checkUrl(engine.url(), name, found);
+		}
+		else if (object instanceof BackendService service) {
+			Set<String> urls = new HashSet<>();
+			for (BackendServer server : service.servers()) {
+				checkUrl(server.url(), name, found);
+				if (!urls.add(server.url())) {
+					found.add("%s names %s twice".formatted(name, server.url()));
+				}
+			}
+		}
+	}
+
+	private static void checkUrl(String url, String name, Set<String> found) {
+		try {
+			URI uri = new URI(url);
+			boolean http = "http".equals(uri.getScheme()) || "https".equals(uri.getScheme());
+			if (!http || uri.getHost() == null || url.endsWith("/") || uri.getRawQuery() != null
+					|| uri.getRawFragment() != null || uri.getRawUserInfo() != null) {
+				found.add("%s has URL %s, which is not an http or https URL without user, query, fragment and "
+					.formatted(name, url) + "trailing slash");
+			}
+		}
+		catch (URISyntaxException ex) {
+			found.add("%s has URL %s, which is malformed".formatted(name, url));
+		}
+	}
+
+	private void checkRemaining(After after, Set<String> found) {
+		Map<String, String> keyByHash = new HashMap<>();
+		Map<String, String> routeByPath = new HashMap<>();
+		for (ConfigurationObject object : after.objects()) {
+			String name = name(new ObjectKey(object.objectKind(), object.id()));
+			if (object instanceof ApiKey key) {
+				after.requireIfDeleted(ObjectKind.TEAM, key.teamId(), name, found);
+				String other = keyByHash.putIfAbsent(key.keyHash(), name);
+				if (other != null) {
+					found.add("%s and %s have the same key hash %s...".formatted(first(name, other),
+							second(name, other), key.keyHash().substring(0, SHOWN_HASH_DIGITS)));
+				}
+			}
+			else if (object instanceof Route route) {
+				after.requireIfDeleted(ObjectKind.SERVICE, route.serviceId(), name, found);
+				for (String method : route.methods()) {
+					String other = routeByPath.putIfAbsent(method + ' ' + route.pathPrefix(), name);
+					if (other != null) {
+						found.add("%s and %s both match %s %s".formatted(first(name, other), second(name, other),
+								method, route.pathPrefix()));
+					}
+				}
+			}
+		}
+	}
+
+	private static String first(String one, String other) {
+		return (one.compareTo(other) <= 0) ? one : other;
+	}
+
+	private static String second(String one, String other) {
+		return (one.compareTo(other) <= 0) ? other : one;
+	}
+
+	private static String name(ObjectKey key) {
+		return key.kind().name().toLowerCase(java.util.Locale.ROOT) + ' ' + key.id();
+	}
+
+	/**
+	 * Objects that exist after the ticket.
+	 */
+	private static final class After {
+
+		private final Map<ObjectKey, ConfigurationObject> objects = new HashMap<>();
+
+		private final Set<ObjectKey> deleted = new HashSet<>();
+
+		private final Set<ObjectKey> unreadable;
+
+		After(TicketDraft draft, Configuration before) {
+			this.unreadable = draft.unreadable();
+			before.objects().forEach((key, state) -> {
+				ConfigurationObject object = state.object();
+				if (object != null) {
+					this.objects.put(key, object);
+				}
+			});
+			for (TicketChange change : draft.changes()) {
+				ConfigurationObject object = change.object();
+				if (object != null) {
+					this.objects.put(change.key(), object);
+					this.deleted.remove(change.key());
+				}
+				else if (this.objects.remove(change.key()) != null) {
+					this.deleted.add(change.key());
+				}
+			}
+		}
+
+		Iterable<ConfigurationObject> objects() {
+			return this.objects.values();
+		}
+
+		void require(ObjectKind kind, String id, String by, Set<String> found) {
+			ObjectKey key = new ObjectKey(kind, id);
+			if (!this.objects.containsKey(key) && !this.unreadable.contains(key) && !this.deleted.contains(key)) {
+				found.add("%s names %s, which does not exist".formatted(by, name(key)));
+			}
+		}
+
+		void requireIfDeleted(ObjectKind kind, String id, String by, Set<String> found) {
+			ObjectKey key = new ObjectKey(kind, id);
+			if (this.deleted.contains(key)) {
+				found.add("%s names %s, which the ticket deletes".formatted(by, name(key)));
+			}
+		}
+
+	}
+
+}
--- a/runtime/src/main/java/org/skylarkstack/http/Authenticator.java
+++ b/runtime/src/main/java/org/skylarkstack/http/Authenticator.java
@@ -2,10 +2,12 @@
 
 import org.jspecify.annotations.Nullable;
 import org.skylarkstack.configuration.ConfigurationHolder;
+import org.skylarkstack.configuration.KeyFreshness;
 import org.skylarkstack.configuration.Team;
 import org.skylarkstack.kernel.ErrorType;
 import org.skylarkstack.kernel.RouterException;
 import org.skylarkstack.misc.Hashes;
+import org.skylarkstack.misc.TimeSource;
 
 /**
  * Finds the team of a caller from its key.
@@ -16,12 +18,20 @@
 
 	private final ConfigurationHolder configuration;
 
+	private final KeyFreshness freshness;
+
+	private final TimeSource time;
+
 	/**
 	 * Creates an authenticator.
 	 * @param configuration the configuration in force
+	 * @param freshness the age of the key state
+	 * @param time the time source
 	 */
-	public Authenticator(ConfigurationHolder configuration) {
+	public Authenticator(ConfigurationHolder configuration, KeyFreshness freshness, TimeSource time) {
 		this.configuration = configuration;
+		this.freshness = freshness;
+		this.time = time;
 	}
 
 	/**
@@ -42,12 +52,15 @@
 	 * @param keyHash the hash of the key
 	 * @return the team
 	 * @throws RouterException with {@link ErrorType#UNAUTHENTICATED} if the key is
-	 * unknown or withdrawn
+	 * unknown or withdrawn, with {@link ErrorType#STALE_KEY_STATE} if the key state is
+	 * older than the team allows
 	 */
 	public Team team(String keyHash) {
-		return this.configuration.current()
+		Team team = this.configuration.current()
 			.teamOfKey(keyHash)
 			.orElseThrow(() -> new RouterException(ErrorType.UNAUTHENTICATED));
+		this.freshness.check(team, this.time.nanos());
+		return team;
 	}
 
 }
--- a/runtime/src/main/java/org/skylarkstack/http/OperatorApi.java
+++ b/runtime/src/main/java/org/skylarkstack/http/OperatorApi.java
@@ -3,22 +3,36 @@
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.javalin.config.JavalinConfig;
 import io.javalin.http.Context;
+import org.jspecify.annotations.Nullable;
 import org.skylarkstack.configuration.ConfigurationHolder;
+import org.skylarkstack.configuration.ConfirmationTable;
+import org.skylarkstack.configuration.HeadEvidence;
+import org.skylarkstack.configuration.KeyFreshness;
 import org.skylarkstack.configuration.Ticket;
+import org.skylarkstack.configuration.TicketReader;
 import org.skylarkstack.configuration.TicketService;
 import org.skylarkstack.kernel.ErrorType;
 import org.skylarkstack.kernel.RouterException;
+import org.skylarkstack.misc.TimeSource;
 
 /**
- * API for operators: change tickets.
+ * API for operators: submit and show change tickets, show the configuration in force.
  */
 public final class OperatorApi {
 
-	private final ObjectMapper mapper = new ObjectMapper();
+	private static final int MAX_HISTORY = 100;
+
+	private static final double NANOS_PER_SECOND = 1e9;
+
+	private final TicketReader reader = new TicketReader();
+
+	private final TicketView view = new TicketView();
 
 	private final Authenticator authenticator;
 
@@ -26,6 +40,12 @@
 
 	private final ConfigurationHolder configuration;
 
+	private final ConfirmationTable confirmations;
+
+	private final KeyFreshness freshness;
+
+	private final TimeSource time;
+
 	private final String operatorKeyHash;
 
 	/**
@@ -33,13 +53,19 @@
 	 * @param authenticator hashes keys
 	 * @param tickets accepts tickets
 	 * @param configuration the configuration in force
+	 * @param confirmations the numbers of all VMs
+	 * @param freshness the age of the state
+	 * @param time the time source
 	 * @param operatorKeyHash the hash of the operators' key
 	 */
 	public OperatorApi(Authenticator authenticator, TicketService tickets, ConfigurationHolder configuration,
-			String operatorKeyHash) {
+			ConfirmationTable confirmations, KeyFreshness freshness, TimeSource time, String operatorKeyHash) {
 		this.authenticator = authenticator;
 		this.tickets = tickets;
 		this.configuration = configuration;
+		this.confirmations = confirmations;
+		this.freshness = freshness;
+		this.time = time;
 		this.operatorKeyHash = operatorKeyHash;
 	}
 
@@ -49,29 +75,68 @@
 	 */
 	public void register(JavalinConfig config) {
 		config.routes.post("/operator/v1/tickets", this::submit);
+		config.routes.get("/operator/v1/tickets", this::history);
+		config.routes.get("/operator/v1/tickets/{number}", this::show);
 		config.routes.get("/operator/v1/configuration", this::configuration);
 		config.routes.exception(RouterException.class, (failure, context) -> ErrorAnswer.write(context, failure));
 	}
 
 	private void submit(Context context) {
 		checkOperator(context);
-		Ticket ticket;
-		try {
-			ticket = this.mapper.readValue(context.bodyAsBytes(), Ticket.class);
+		Ticket recorded = this.tickets.submit(this.reader.read(context.bodyAsBytes()));
+		answer(context, 201,
+				JsonNodeFactory.instance.objectNode()
+					.put("number", recorded.number())
+					.put("state", "recorded")
+					.put("contentHash", this.tickets.contentHash(recorded)));
+	}
+
+	private void show(Context context) {
+		checkOperator(context);
+		long number = number("number", context.pathParam("number"), 0);
+		Ticket ticket = this.tickets.find(number).orElseThrow(() -> new RouterException(ErrorType.NO_TICKET, number));
+		answer(context, 200, this.view.ticket(ticket, this.tickets.contentHash(ticket),
+				this.confirmations.status(number, this.time.nanos())));
+	}
+
+	private void history(Context context) {
+		checkOperator(context);
+		long after = number("after", context.queryParam("after"), 0);
+		long limit = number("limit", context.queryParam("limit"), MAX_HISTORY);
+		ObjectNode answer = JsonNodeFactory.instance.objectNode();
+		ArrayNode list = answer.putArray("tickets");
+		if (limit > 0) {
+			this.tickets.history(after, (int) Math.min(limit, MAX_HISTORY))
+				.forEach((ticket) -> list.add(this.view.ticket(ticket, this.tickets.contentHash(ticket))));
 		}
-		catch (JsonProcessingException ex) {
-			throw new RouterException(ErrorType.BAD_REQUEST, ex.getOriginalMessage());
+		answer(context, 200, answer);
+	}
+
+	private static long number(String name, @Nullable String text, long absent) {
+		if (text == null) {
+			return absent;
 		}
-		catch (java.io.IOException ex) {
-			throw new RouterException(ErrorType.BAD_REQUEST, "the body could not be read");
+		try {
+			return Math.max(0, Long.parseLong(text));
+		}
+		catch (NumberFormatException ex) {
+			throw new RouterException(ErrorType.BAD_REQUEST, name + " is not a number");
 		}
-		this.tickets.submit(ticket);
-		context.status(201).json(java.util.Map.of("number", ticket.number(), "state", "recorded"));
 	}
 
 	private void configuration(Context context) {
 		checkOperator(context);
-		context.json(java.util.Map.of("appliedNumber", this.configuration.current().appliedNumber()));
+		long now = this.time.nanos();
+		ObjectNode summary = this.view.summary(this.configuration.current());
+		this.freshness.evidence(now)
+			.map(HeadEvidence::ageNanos)
+			.ifPresentOrElse((age) -> summary.put("stateAgeSeconds", age / NANOS_PER_SECOND),
+					() -> summary.putNull("stateAgeSeconds"));
+		answer(context, 200, summary);
+	}
+
+	private static void answer(Context context, int status, JsonNode answer) {
+		context.status(status).contentType("application/json").result(answer.toString());
 	}
 
 	private void checkOperator(Context context) {
--- a/runtime/src/main/java/org/skylarkstack/kernel/ErrorType.java
+++ b/runtime/src/main/java/org/skylarkstack/kernel/ErrorType.java
@@ -90,6 +90,9 @@
 	TICKET_UNKNOWN(2003, 503, "api_error", Verdict.MAY_HAVE_RUN,
 			"the store did not confirm ticket %s; send the same ticket again"),
 
+	/** The ticket is not recorded. */
+	NO_TICKET(2005, 404, "not_found_error", Verdict.NOT_RUN, "ticket %s is not recorded"),
+
 	/** The store is unavailable. */
 	STORE_UNAVAILABLE(2004, 503, "api_error", Verdict.NOT_RUN, "the store is unavailable"),
 
--- a/runtime/src/main/java/org/skylarkstack/store/DynamoTableStore.java
+++ b/runtime/src/main/java/org/skylarkstack/store/DynamoTableStore.java
@@ -1,5 +1,6 @@
 package org.skylarkstack.store;
 
+import java.net.ConnectException;
 import java.net.URI;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -13,6 +14,7 @@
 import org.skylarkstack.settings.PlatformSettings;
 import software.amazon.awssdk.auth.credentials.AwsBasicCredentials;
 import software.amazon.awssdk.auth.credentials.StaticCredentialsProvider;
+import software.amazon.awssdk.awscore.exception.AwsServiceException;
 import software.amazon.awssdk.core.client.config.ClientOverrideConfiguration;
 import software.amazon.awssdk.core.exception.SdkException;
 import software.amazon.awssdk.http.urlconnection.UrlConnectionHttpClient;
@@ -35,6 +37,8 @@
 
 	private static final String SORT = "sk";
 
+	private static final String CONDITION_FAILED = "ConditionalCheckFailed";
+
 	private final DynamoDbClient client;
 
 	private final String table;
@@ -92,11 +96,32 @@
 			return true;
 		}
 		catch (TransactionCanceledException ex) {
-			return false;
+			if (ex.cancellationReasons().stream().anyMatch((reason) -> CONDITION_FAILED.equals(reason.code()))) {
+				return false;
+			}
+			// Cancelled for another reason, such as a concurrent transaction or
+			// throttling.
+			throw new StoreException(WriteEffect.NOT_APPLIED, "write cancelled", ex);
 		}
 		catch (SdkException ex) {
-			throw new StoreException(WriteEffect.UNKNOWN, "write failed", ex);
+			throw new StoreException(effect(ex), "write failed", ex);
+		}
+	}
+
+	/**
+	 * Returns the effect of a failed write. An answer with status 4xx refuses it, and a
+	 * refused connection carries none; all other failures leave the effect open.
+	 */
+	private static WriteEffect effect(SdkException failure) {
+		if (failure instanceof AwsServiceException answer) {
+			return (answer.statusCode() / 100 == 4) ? WriteEffect.NOT_APPLIED : WriteEffect.UNKNOWN;
+		}
+		for (Throwable cause = failure.getCause(); cause != null; cause = cause.getCause()) {
+			if (cause instanceof ConnectException) {
+				return WriteEffect.NOT_APPLIED;
+			}
 		}
+		return WriteEffect.UNKNOWN;
 	}
 
 	private <T> T call(String operation, Supplier<T> action) {
--- a/runtime/src/main/java/org/skylarkstack/store/TableStore.java
+++ b/runtime/src/main/java/org/skylarkstack/store/TableStore.java
@@ -22,7 +22,8 @@
 	 * @param partition the partition key
 	 * @param afterSort only rows with a greater sort key are returned
 	 * @param limit the largest number of rows
-	 * @return the rows
+	 * @return the first rows, fewer than the limit if the service bounds the page by its
+	 * size (1 MB); empty only if there are none
 	 * @throws StoreException if the store does not answer
 	 */
 	List<Row> query(String partition, String afterSort, int limit);
--- /dev/null
+++ b/runtime/src/test/java/org/skylarkstack/configuration/TicketLogTests.java
@@ -0,0 +1,239 @@
+package org.skylarkstack.configuration;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
+import org.skylarkstack.kernel.ErrorType;
+import org.skylarkstack.kernel.RouterException;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests of recording and reading tickets.
+ */
+class TicketLogTests {
+
+	private final TicketReader reader = new TicketReader();
+
+	private final FakeTableStore store = new FakeTableStore();
+
+	private final ConfigurationHolder configuration = new ConfigurationHolder();
+
+	private final TicketLog log = new TicketLog(this.store, this.configuration);
+
+	private Ticket submit(Ticket ticket) {
+		return this.log.submit(this.reader.read(ticket));
+	}
+
+	private RouterException refused(Ticket ticket) {
+		return Assertions.assertThrows(RouterException.class, () -> submit(ticket));
+	}
+
+	/** Guards against a refusal that does not say who won the number. */
+	@Test
+	void conflictNamesTheWinner() {
+		submit(Tickets.ticket(1, "ann", Tickets.team("a")));
+		RouterException taken = refused(Tickets.ticket(1, "bob", Tickets.team("b")));
+		assertThat(taken.type()).isEqualTo(ErrorType.TICKET_CONFLICT);
+		assertThat(taken).hasMessageThat().contains("number 1 was taken by ann");
+		RouterException ahead = refused(Tickets.ticket(5, "bob", Tickets.team("b")));
+		assertThat(ahead).hasMessageThat().contains("the next number is 2; ticket 1 was recorded by ann");
+	}
+
+	/**
+	 * Guards against a second effect or another answer for a ticket that is sent again.
+	 */
+	@Test
+	void resubmissionGivesTheSameAnswer() {
+		Ticket first = Tickets.ticket(1, "ann", Tickets.team("a"));
+		Ticket recorded = submit(first);
+		submit(Tickets.ticket(2, "ann", new Team("a", 2, 2, 2, null)));
+		assertThat(submit(first)).isEqualTo(recorded);
+		assertThat(this.configuration.current().team("a").orElseThrow().tokensPerSecond()).isEqualTo(2);
+	}
+
+	/** Guards against a content hash that depends on the order of a set. */
+	@Test
+	void methodsOfRoutesAreSorted() {
+		Route route = new Route("r", "/x", Set.of("PUT", "GET", "POST", "DELETE"), "s", false, false);
+		assertThat(route.methods()).containsExactly("DELETE", "GET", "POST", "PUT").inOrder();
+	}
+
+	/**
+	 * Guards against a write that lands after the client gave it up and overwrites the
+	 * winner, and against a refusal as not run while it may still land.
+	 */
+	@Test
+	void lateWriteIsNeverReportedAsNotRun() {
+		submit(Tickets.ticket(1, "ann", Tickets.team("a")));
+		this.store.holdWrites(3);
+		RouterException unknown = refused(Tickets.ticket(2, "ann", Tickets.team("late")));
+		assertThat(unknown.type()).isEqualTo(ErrorType.TICKET_UNKNOWN);
+		submit(Tickets.ticket(2, "bob", Tickets.team("b")));
+		this.store.landHeldWrites();
+		assertThat(this.log.find(2).orElseThrow().author()).isEqualTo("bob");
+		assertThat(refused(Tickets.ticket(2, "ann", Tickets.team("late")))).hasMessageThat().contains("taken by bob");
+	}
+
+	/**
+	 * Guards against a timed-out write that stays unsettled although the store answers.
+	 */
+	@Test
+	void lateWriteIsSettledByWritingAgain() {
+		this.store.holdWrites(1);
+		Ticket ticket = Tickets.ticket(1, "ann", Tickets.team("a"));
+		assertThat(submit(ticket)).isEqualTo(ticket);
+		this.store.landHeldWrites();
+		assertThat(this.log.history(0, 10)).containsExactly(ticket);
+	}
+
+	/**
+	 * Guards against two winners of one number, and against losers told a wrong winner.
+	 */
+	@Test
+	void oneOfManyOperatorsWinsEachNumber() throws Exception {
+		int operators = 8;
+		int numbers = 10;
+		ExecutorService threads = Executors.newFixedThreadPool(operators);
+		try {
+			for (int number = 1; number <= numbers; number++) {
+				race(threads, operators, number);
+			}
+		}
+		finally {
+			threads.shutdownNow();
+		}
+		assertThat(this.log.history(0, 100)).hasSize(numbers);
+	}
+
+	private void race(ExecutorService threads, int operators, int number) throws Exception {
+		AtomicInteger wins = new AtomicInteger();
+		List<String> losses = java.util.Collections.synchronizedList(new ArrayList<>());
+		List<Future<?>> running = new ArrayList<>();
+		for (int operator = 0; operator < operators; operator++) {
+			String author = "operator-" + operator;
+			// Each operator asks another daemon, which shares only the store.
+			TicketLog daemon = new TicketLog(this.store, new ConfigurationHolder());
+			running.add(threads.submit(() -> {
+				try {
+					daemon.submit(this.reader.read(Tickets.ticket(number, author, Tickets.team(author))));
+					wins.incrementAndGet();
+				}
+				catch (RouterException ex) {
+					losses.add(String.valueOf(ex.getMessage()));
+				}
+			}));
+		}
+		for (Future<?> future : running) {
+			future.get();
+		}
+		String winner = this.log.find(number).orElseThrow().author();
+		assertThat(wins.get()).isEqualTo(1);
+		assertThat(losses).hasSize(operators - 1);
+		losses.forEach((loss) -> assertThat(loss).contains("number %d was taken by %s".formatted(number, winner)));
+	}
+
+	/** Guards against a vague answer in an outage. */
+	@Test
+	void outageIsRefusedAsNotRun() {
+		this.store.downAfter(0);
+		assertThat(refused(Tickets.ticket(1, "ann", Tickets.team("a"))).type()).isEqualTo(ErrorType.STORE_UNAVAILABLE);
+		// The catch-up succeeds and the write fails before it has an effect.
+		this.store.downAfter(1);
+		assertThat(refused(Tickets.ticket(1, "ann", Tickets.team("a"))).type()).isEqualTo(ErrorType.STORE_UNAVAILABLE);
+	}
+
+	/**
+	 * Guards against a daemon that serves with half of the tickets, in which withdrawn
+	 * keys still work, when the store fails during its start; and against starting over.
+	 */
+	@Test
+	void partialReadDoesNotComeIntoForce() {
+		int teams = 2_500;
+		for (int number = 1; number <= teams; number++) {
+			this.store
+				.write(List.of(org.skylarkstack.store.RowWrite.put(
+						new org.skylarkstack.store.Row("ticket", "%019d".formatted(number),
+								java.util.Map.of("body",
+										new TicketCodec()
+											.write(Tickets.ticket(number, "ann", Tickets.team("t" + number))))),
+						null)));
+		}
+		this.store.downAfter(2);
+		Assertions.assertThrows(org.skylarkstack.store.StoreException.class, this.log::catchUp);
+		assertThat(this.configuration.current().appliedNumber()).isEqualTo(0);
+		// The first 2,000 tickets are kept: one page and the end of the log remain.
+		this.store.downAfter(2);
+		assertThat(this.log.catchUp()).isEqualTo(teams);
+		assertThat(this.configuration.current().team("t2500")).isPresent();
+	}
+
+	/** Guards against a refusal that hides some of the reasons. */
+	@Test
+	void everyReasonIsListed() {
+		submit(Tickets.ticket(1, "ann", Tickets.team("a"), Tickets.key("k1", "a"), new BackendService("s", List.of()),
+				new Route("r", "/x", Set.of("GET"), "s", false, false)));
+		String json = """
+				{"number": 2, "author": "bob", "changes": [
+				 {"key": {"kind": "TEAM", "id": "a"}, "object": null},
+				 {"key": {"kind": "SERVICE", "id": "s"}, "object": null},
+				 {"key": {"kind": "TEAM", "id": "none"}, "object": null},
+				 {"key": {"kind": "KEY", "id": "k2"},
+				  "object": {"kind": "KEY", "id": "k2", "keyHash": "%s", "teamId": "missing"}},
+				 {"key": {"kind": "KEY", "id": "k3"},
+				  "object": {"kind": "KEY", "id": "k3", "keyHash": "plain-key", "teamId": "b b"}},
+				 {"key": {"kind": "TEAM", "id": "c"},
+				  "object": {"kind": "TEAM", "id": "d", "tokensPerSecond": 1, "burstTokens": 1, "weight": 1}},
+				 {"key": {"kind": "TEAM", "id": "e"},
+				  "object": {"kind": "TEAM", "id": "e", "tokensPerSecond": 0, "burstTokens": -1, "weight": 0}},
+				 {"key": {"kind": "KEY", "id": "k4"},
+				  "object": {"kind": "KEY", "id": "k4", "keyHash": "%s", "teamId": "e"}},
+				 {"key": {"kind": "ROUTE", "id": "r2"}, "object": {"kind": "ROUTE", "id": "r2", "pathPrefix": "/x",
+				  "methods": ["GET"], "serviceId": "missing"}},
+				 {"key": {"kind": "ENGINE", "id": "e1"}, "object": {"kind": "ENGINE", "id": "e1", "url": "ftp://h",
+				  "dataCentre": "d", "model": "m", "role": "BOTH", "decodeSlots": 1, "memoryPieces": 1,
+				  "prefillTokensPerSecond": 1}},
+				 {"key": {"kind": "SERVICE", "id": "s2"}, "object": {"kind": "SERVICE", "id": "s2", "servers": [
+				  {"url": "http://h:1", "dataCentre": "d"}, {"url": "http://h:1", "dataCentre": "d"}]}},
+				 {"key": {"kind": "TEAM", "id": "none"}, "object": null}
+				]}""".formatted(Tickets.key("k1", "a").keyHash(), "0".repeat(64));
+		RouterException failure = Assertions.assertThrows(RouterException.class,
+				() -> this.log.submit(this.reader.read(json.getBytes(java.nio.charset.StandardCharsets.UTF_8))));
+		assertThat(failure.type()).isEqualTo(ErrorType.TICKET_INVALID);
+		String reasons = String.valueOf(failure.getMessage());
+		for (String reason : List.of("key k1 names team a, which the ticket deletes",
+				"route r names service s, which the ticket deletes", "team none does not exist and cannot be deleted",
+				"key k2 names team missing, which does not exist", "key k1 and key k2 have the same key hash",
+				"/changes/4/object/keyHash", "/changes/4/object/teamId", "/changes/5",
+				"/changes/6/object/tokensPerSecond", "/changes/6/object/burstTokens", "/changes/6/object/weight",
+				"route r2 names service missing, which does not exist", "route r and route r2 both match GET /x",
+				"engine e1 has URL ftp://h", "service s2 names http://h:1 twice", "team none is changed twice")) {
+			assertThat(reasons).contains(reason);
+		}
+		// Team e is there, only unreadable; and a key that was sent in place of its hash
+		// is
+		// not repeated.
+		assertThat(reasons).doesNotContain("names team e,");
+		assertThat(reasons).doesNotContain("plain-key");
+		assertThat(reasons).doesNotContain(Tickets.key("k1", "a").keyHash());
+		assertThat(this.configuration.current().appliedNumber()).isEqualTo(1);
+	}
+
+	/** Guards against a ticket that the table service cannot hold. */
+	@Test
+	void oversizedTicketIsRefused() {
+		ConfigurationObject[] teams = new ConfigurationObject[4_000];
+		for (int index = 0; index < teams.length; index++) {
+			teams[index] = Tickets.team("team-" + index);
+		}
+		assertThat(refused(Tickets.ticket(1, "ann", teams))).hasMessageThat().contains("at most 358400 are allowed");
+	}
+
+}
--- /dev/null
+++ b/runtime/src/test/java/org/skylarkstack/configuration/TicketSyncTests.java
@@ -0,0 +1,278 @@
+package org.skylarkstack.configuration;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Random;
+import java.util.TreeMap;
+
+import org.junit.jupiter.api.Assertions;
+import org.junit.jupiter.api.Test;
+import org.skylarkstack.kernel.ErrorType;
+import org.skylarkstack.kernel.RouterException;
+import org.skylarkstack.membership.Member;
+import org.skylarkstack.membership.Membership;
+import org.skylarkstack.membership.MembershipView;
+import org.skylarkstack.peer.FakePeerNetwork;
+import org.skylarkstack.peer.PeerTransport;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests of the exchange of tickets between daemons, in simulated time.
+ */
+class TicketSyncTests {
+
+	private static final long SEED = 20_260_101;
+
+	private static final long STEP_NANOS = Duration.ofMillis(50).toNanos();
+
+	private static final long MAX_DELAY_NANOS = Duration.ofMillis(30).toNanos();
+
+	private final FakePeerNetwork network = new FakePeerNetwork(new Random(SEED), MAX_DELAY_NANOS);
+
+	private final FakeTableStore store = new FakeTableStore();
+
+	private final Map<String, Node> nodes = new HashMap<>();
+
+	private final List<String> vmIds = new ArrayList<>();
+
+	private long now;
+
+	private void start(int count) {
+		System.out.println("seed " + SEED);
+		for (int index = 0; index < count; index++) {
+			this.vmIds.add("vm-" + index);
+		}
+		this.vmIds.forEach((vmId) -> this.nodes.put(vmId, new Node(vmId)));
+	}
+
+	private Node node(int index) {
+		return Objects.requireNonNull(this.nodes.get(this.vmIds.get(index)));
+	}
+
+	private void run(Duration time) {
+		for (long end = this.now + time.toNanos(); this.now < end;) {
+			this.now += STEP_NANOS;
+			this.network.advance(this.now);
+			this.nodes.values().forEach((node) -> node.sync.tick(this.now));
+		}
+	}
+
+	private void submit(int index, Ticket ticket) {
+		node(index).log.submit(new TicketReader().read(ticket));
+	}
+
+	/** The first ticket comes from the store everywhere, as on a fresh fleet. */
+	private void setUp(ConfigurationObject... objects) {
+		submit(0, Tickets.ticket(1, "ann", objects));
+		this.nodes.values().forEach(Node::poll);
+	}
+
+	/** Guards against tickets that spread only through the store. */
+	@Test
+	void ticketSpreadsToAllPeersWithoutTheStore() {
+		start(20);
+		setUp(Tickets.team("a"));
+		submit(3, Tickets.ticket(2, "ann", Tickets.team("b")));
+		this.store.downAfter(0);
+		run(Duration.ofSeconds(10));
+		this.nodes.values().forEach((node) -> assertThat(node.applied()).isEqualTo(2));
+	}
+
+	/** Guards against a restart during an outage that ends without a configuration. */
+	@Test
+	void restartWhileTheStoreIsDownTakesTheStateFromAPeer() {
+		start(3);
+		setUp(Tickets.team("a"));
+		submit(0, Tickets.ticket(2, "ann", Tickets.team("b")));
+		run(Duration.ofSeconds(10));
+		this.store.downAfter(0);
+		Node restarted = new Node("vm-1");
+		this.nodes.put("vm-1", restarted);
+		assertThat(restarted.applied()).isEqualTo(0);
+		run(Duration.ofSeconds(2));
+		assertThat(restarted.applied()).isEqualTo(2);
+		assertThat(restarted.configuration.current().objects()).isEqualTo(node(0).configuration.current().objects());
+		assertThat(restarted.freshness.evidence(this.now)).isPresent();
+	}
+
+	/** Guards against a daemon that turns ready with nothing to go by. */
+	@Test
+	void restartWithoutStoreAndPeersStaysEmpty() {
+		start(2);
+		setUp(Tickets.team("a"));
+		this.store.downAfter(0);
+		this.network.cut("vm-0", "vm-1", true);
+		Node restarted = new Node("vm-1");
+		this.nodes.put("vm-1", restarted);
+		run(Duration.ofSeconds(30));
+		assertThat(restarted.applied()).isEqualTo(0);
+		this.network.cut("vm-0", "vm-1", false);
+		run(Duration.ofSeconds(3));
+		assertThat(restarted.applied()).isEqualTo(1);
+	}
+
+	/**
+	 * Guards against a snapshot that does not fit in a frame, or that is put together
+	 * wrongly.
+	 */
+	@Test
+	void largeStateMovesInParts() {
+		start(2);
+		int teams = 20_000;
+		int perTicket = 500;
+		for (int number = 1; number <= teams / perTicket; number++) {
+			ConfigurationObject[] objects = new ConfigurationObject[perTicket];
+			for (int index = 0; index < perTicket; index++) {
+				objects[index] = Tickets.key("key-%d-%d".formatted(number, index), "a");
+			}
+			Ticket ticket = Tickets.ticket(number, "ann", objects);
+			node(0).configuration.update((current) -> current.apply(ticket));
+		}
+		node(0).freshness.observe(node(0).applied(), this.now);
+		byte[] whole = new SnapshotCodec().write(node(0).configuration.current());
+		assertThat(whole.length).isGreaterThan(TicketSync.PART_BYTES);
+		run(Duration.ofSeconds(3));
+		assertThat(node(1).configuration.current().objects()).isEqualTo(node(0).configuration.current().objects());
+		assertThat(node(1).applied()).isEqualTo(node(0).applied());
+	}
+
+	/** Guards against a part that stays behind after a partition has healed. */
+	@Test
+	void partitionHeals() {
+		start(6);
+		setUp(Tickets.team("a"), Tickets.key("k", "a"));
+		cutOff(true);
+		this.store.downAfter(0);
+		Ticket withdrawal = Tickets.deletion(2, ObjectKind.KEY, "k");
+		node(0).configuration.update((current) -> current.apply(withdrawal));
+		node(0).sync.learned(List.of(withdrawal), this.now);
+		run(Duration.ofSeconds(20));
+		assertThat(node(1).applied()).isEqualTo(2);
+		assertThat(node(5).applied()).isEqualTo(1);
+		cutOff(false);
+		run(Duration.ofSeconds(20));
+		this.nodes.values().forEach((node) -> {
+			assertThat(node.applied()).isEqualTo(2);
+			assertThat(node.configuration.current().teamOfKey(Tickets.key("k", "a").keyHash())).isEmpty();
+		});
+	}
+
+	private void cutOff(boolean isCut) {
+		for (int inside = 4; inside < 6; inside++) {
+			for (int outside = 0; outside < 4; outside++) {
+				this.network.cut(this.vmIds.get(inside), this.vmIds.get(outside), isCut);
+			}
+		}
+	}
+
+	/** Guards against key state that counts as fresh on no or too young evidence. */
+	@Test
+	void freshnessCarriesTheAgeAlong() {
+		start(3);
+		setUp(new Team("strict", 1, 1, 1, 30));
+		Team strict = node(0).configuration.current().team("strict").orElseThrow();
+		long provenNanos = this.now;
+		this.network.cut("vm-0", "vm-2", true);
+		run(Duration.ofSeconds(25));
+		// Only vm-0 reads the store; vm-2 hears of it through vm-1.
+		node(0).poll();
+		run(Duration.ofSeconds(10));
+		long ageNanos = node(2).freshness.evidence(this.now).orElseThrow().ageNanos();
+		assertThat(ageNanos).isAtLeast(Duration.ofSeconds(10).toNanos());
+		assertThat(ageNanos).isLessThan(this.now - provenNanos);
+		node(2).freshness.check(strict, this.now);
+		run(Duration.ofSeconds(25));
+		for (Node node : this.nodes.values()) {
+			RouterException stale = Assertions.assertThrows(RouterException.class,
+					() -> node.freshness.check(strict, this.now));
+			assertThat(stale.type()).isEqualTo(ErrorType.STALE_KEY_STATE);
+		}
+	}
+
+	/**
+	 * Guards against evidence for tickets that are not in force here, and forged answers.
+	 */
+	@Test
+	void evidenceCountsOnlyWithTheTickets() {
+		start(1);
+		setUp(Tickets.team("a"));
+		long early = node(0).freshness.evidence(this.now).orElseThrow().ageNanos();
+		this.now += Duration.ofSeconds(60).toNanos();
+		node(0).freshness.observe(2, this.now);
+		assertThat(node(0).freshness.evidence(this.now).orElseThrow().ageNanos()).isGreaterThan(early);
+		node(0).sync.onPush("vm-9", new TicketPush(77, List.of(), 1, new HeadEvidence(1, 0)), this.now);
+		assertThat(node(0).freshness.evidence(this.now).orElseThrow().ageNanos()).isGreaterThan(early);
+		node(0).configuration.update((current) -> current.apply(Tickets.ticket(2, "ann", Tickets.team("b"))));
+		assertThat(node(0).freshness.evidence(this.now).orElseThrow().ageNanos()).isEqualTo(0);
+	}
+
+	/** Guards against a VM that is cut off and yet shown as up to date, or not shown. */
+	@Test
+	void unconfirmedVmsAreListedWithTheirWait() {
+		ConfirmationTable table = new ConfirmationTable();
+		table.expect(List.of("vm-0", "vm-1", "vm-2"));
+		long second = Duration.ofSeconds(1).toNanos();
+		table.report("vm-0", 4, 0);
+		table.report("vm-1", 3, 0);
+		table.reached(4, 5 * second);
+		TicketStatus status = table.status(4, 20 * second);
+		assertThat(status.inForceOn()).containsExactly("vm-0");
+		assertThat(status.notConfirmed()).containsExactly(new TicketStatus.Unconfirmed("vm-1", 3, 15L, 20L),
+				new TicketStatus.Unconfirmed("vm-2", 0, 15L, null));
+	}
+
+	/**
+	 * Daemon of the simulated fleet.
+	 */
+	private final class Node {
+
+		private final ConfigurationHolder configuration = new ConfigurationHolder();
+
+		private final KeyFreshness freshness = new KeyFreshness(this.configuration);
+
+		private final TicketLog log = new TicketLog(TicketSyncTests.this.store, this.configuration);
+
+		private final TicketSync sync;
+
+		Node(String vmId) {
+			PeerTransport transport = TicketSyncTests.this.network.join(vmId);
+			TreeMap<String, Member> members = new TreeMap<>();
+			TicketSyncTests.this.vmIds.forEach((id) -> members.put(id, new Member(id, 1, "dc", false)));
+			Membership membership = new Membership() {
+				@Override
+				public MembershipView view() {
+					return new MembershipView(vmId, members);
+				}
+
+				@Override
+				public long incarnation() {
+					return 1;
+				}
+			};
+			this.sync = new TicketSync(this.configuration, this.freshness, membership, transport,
+					new Random(SEED + vmId.hashCode()));
+			this.log.onLearned((tickets) -> this.sync.learned(tickets, TicketSyncTests.this.now));
+			transport.handle(TicketPush.class, (from, push) -> this.sync.onPush(from, push, TicketSyncTests.this.now));
+			transport.handle(TicketPull.class, (from, pull) -> this.sync.onPull(from, pull, TicketSyncTests.this.now));
+			transport.handle(ConfigurationSnapshot.class,
+					(from, part) -> this.sync.onSnapshot(from, part, TicketSyncTests.this.now));
+		}
+
+		void poll() {
+			// The store answers this poll even in an outage of the others.
+			TicketSyncTests.this.store.up();
+			this.freshness.observe(this.log.catchUp(), TicketSyncTests.this.now);
+		}
+
+		long applied() {
+			return this.configuration.current().appliedNumber();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/runtime/src/test/java/org/skylarkstack/configuration/Tickets.java
@@ -0,0 +1,31 @@
+package org.skylarkstack.configuration;
+
+import java.util.List;
+
+import org.skylarkstack.misc.Hashes;
+
+/**
+ * Tickets for tests.
+ */
+final class Tickets {
+
+	private Tickets() {
+	}
+
+	static Team team(String id) {
+		return new Team(id, 1_000, 5_000, 1, null);
+	}
+
+	static ApiKey key(String id, String teamId) {
+		return new ApiKey(id, Hashes.sha256(id), teamId);
+	}
+
+	static Ticket ticket(long number, String author, ConfigurationObject... objects) {
+		return new Ticket(number, author, List.of(objects).stream().map(TicketChange::set).toList());
+	}
+
+	static Ticket deletion(long number, ObjectKind kind, String id) {
+		return new Ticket(number, "ann", List.of(TicketChange.delete(kind, id)));
+	}
+
+}
