--- a/runtime/src/main/java/org/skylarkstack/configuration/Configuration.java
+++ b/runtime/src/main/java/org/skylarkstack/configuration/Configuration.java
@@ -77,6 +77,9 @@
 	/**
 	 * Two keys have the same hash only while the ticket that moved the hash is here and
 	 * an earlier one is not; the later ticket decides.
+	 * @param first one key
+	 * @param second the other key
+	 * @return the key that the later ticket set
 	 */
 	private ApiKey laterKey(ApiKey first, ApiKey second) {
 		return (setBy(first) >= setBy(second)) ? first : second;
--- a/runtime/src/main/java/org/skylarkstack/store/DynamoTableStore.java
+++ b/runtime/src/main/java/org/skylarkstack/store/DynamoTableStore.java
@@ -111,6 +111,8 @@
 	/**
 	 * Returns the effect of a failed write. An answer with status 4xx refuses it, and a
 	 * refused connection carries none; all other failures leave the effect open.
+	 * @param failure the failure
+	 * @return the effect
 	 */
 	private static WriteEffect effect(SdkException failure) {
 		if (failure instanceof AwsServiceException answer) {
--- a/runtime/src/test/java/org/skylarkstack/configuration/ConfigurationMergeTests.java
+++ b/runtime/src/test/java/org/skylarkstack/configuration/ConfigurationMergeTests.java
@@ -75,7 +75,7 @@
 		List<Ticket> tickets = new ArrayList<>();
 		for (int number = 1; number <= count; number++) {
 			String id = "team-" + random.nextInt(OBJECTS);
-			tickets.add(random.nextInt(4) == 0 ? Tickets.deletion(number, ObjectKind.TEAM, id)
+			tickets.add((random.nextInt(4) == 0) ? Tickets.deletion(number, ObjectKind.TEAM, id)
 					: Tickets.ticket(number, "ann", new Team(id, 1 + random.nextInt(9), 1, 1, null)));
 		}
 		return tickets;
--- a/runtime/src/test/java/org/skylarkstack/configuration/TicketLogTests.java
+++ b/runtime/src/test/java/org/skylarkstack/configuration/TicketLogTests.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.atomic.AtomicInteger;
 
-import org.junit.jupiter.api.Assertions;
 import org.junit.jupiter.api.Test;
 import org.skylarkstack.kernel.ErrorType;
 import org.skylarkstack.kernel.RouterException;
@@ -33,7 +32,7 @@
 	}
 
 	private RouterException refused(Ticket ticket) {
-		return Assertions.assertThrows(RouterException.class, () -> submit(ticket));
+		return Thrown.by(RouterException.class, () -> submit(ticket));
 	}
 
 	/** Guards against a refusal that does not say who won the number. */
@@ -167,7 +166,7 @@
 						null)));
 		}
 		this.store.downAfter(2);
-		Assertions.assertThrows(org.skylarkstack.store.StoreException.class, this.log::catchUp);
+		Thrown.by(org.skylarkstack.store.StoreException.class, this.log::catchUp);
 		assertThat(this.configuration.current().appliedNumber()).isEqualTo(0);
 		// The first 2,000 tickets are kept: one page and the end of the log remain.
 		this.store.downAfter(2);
@@ -204,7 +203,7 @@
 				  {"url": "http://h:1", "dataCentre": "d"}, {"url": "http://h:1", "dataCentre": "d"}]}},
 				 {"key": {"kind": "TEAM", "id": "none"}, "object": null}
 				]}""".formatted(Tickets.key("k1", "a").keyHash(), "0".repeat(64));
-		RouterException failure = Assertions.assertThrows(RouterException.class,
+		RouterException failure = Thrown.by(RouterException.class,
 				() -> this.log.submit(this.reader.read(json.getBytes(java.nio.charset.StandardCharsets.UTF_8))));
 		assertThat(failure.type()).isEqualTo(ErrorType.TICKET_INVALID);
 		String reasons = String.valueOf(failure.getMessage());
--- a/runtime/src/test/java/org/skylarkstack/configuration/TicketSyncTests.java
+++ b/runtime/src/test/java/org/skylarkstack/configuration/TicketSyncTests.java
@@ -9,14 +9,17 @@
 import java.util.Random;
 import java.util.TreeMap;
 
-import org.junit.jupiter.api.Assertions;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import org.junit.jupiter.api.Test;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
 import org.skylarkstack.kernel.ErrorType;
+import org.skylarkstack.kernel.PluginRegistry;
 import org.skylarkstack.kernel.RouterException;
 import org.skylarkstack.membership.Member;
 import org.skylarkstack.membership.Membership;
 import org.skylarkstack.membership.MembershipView;
 import org.skylarkstack.peer.FakePeerNetwork;
+import org.skylarkstack.peer.PeerMessageType;
 import org.skylarkstack.peer.PeerTransport;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -188,8 +191,7 @@
 		node(2).freshness.check(strict, this.now);
 		run(Duration.ofSeconds(25));
 		for (Node node : this.nodes.values()) {
-			RouterException stale = Assertions.assertThrows(RouterException.class,
-					() -> node.freshness.check(strict, this.now));
+			RouterException stale = Thrown.by(RouterException.class, () -> node.freshness.check(strict, this.now));
 			assertThat(stale.type()).isEqualTo(ErrorType.STALE_KEY_STATE);
 		}
 	}
@@ -211,6 +213,25 @@
 		assertThat(node(0).freshness.evidence(this.now).orElseThrow().ageNanos()).isEqualTo(0);
 	}
 
+	/** Guards against messages that the frames between daemons cannot carry. */
+	@Test
+	void messagesFitInFrames() throws Exception {
+		ObjectMapper frames = new ObjectMapper(new MessagePackFactory());
+		TicketPush push = new TicketPush(1, List.of("x".repeat(TicketValidator.MAX_BODY_BYTES)), 1, null);
+		TicketPush wide = new TicketPush(1, List.of("\u20ac".repeat(TicketSync.MESSAGE_CHARACTERS)), 1,
+				new HeadEvidence(3, 4));
+		for (TicketPush message : List.of(push, wide)) {
+			byte[] bytes = frames.writeValueAsBytes(message);
+			assertThat(bytes.length).isLessThan(1024 * 1024);
+			assertThat(frames.readValue(bytes, TicketPush.class)).isEqualTo(message);
+		}
+		byte[] part = frames.writeValueAsBytes(new ConfigurationSnapshot(1, 0, 1, new byte[TicketSync.PART_BYTES]));
+		assertThat(part.length).isLessThan(1024 * 1024);
+		assertThat(frames.readValue(part, ConfigurationSnapshot.class).bytes()).hasLength(TicketSync.PART_BYTES);
+		assertThat(PluginRegistry.load().names(PeerMessageType.class)).containsAtLeast("ticket-push", "ticket-pull",
+				"configuration-snapshot");
+	}
+
 	/** Guards against a VM that is cut off and yet shown as up to date, or not shown. */
 	@Test
 	void unconfirmedVmsAreListedWithTheirWait() {
--- a/standin/src/main/java/org/skylarkstack/standin/PlatformFaults.java
+++ b/standin/src/main/java/org/skylarkstack/standin/PlatformFaults.java
@@ -15,6 +15,8 @@
 
 	private final AtomicInteger repliesToLose = new AtomicInteger();
 
+	private final AtomicInteger writesToHold = new AtomicInteger();
+
 	private final Map<String, AtomicLong> operations = new ConcurrentHashMap<>();
 
 	private volatile boolean down;
@@ -59,6 +61,15 @@
 		this.repliesToLose.set(count);
 	}
 
+	/**
+	 * Answers the next writes with an error and holds them back, as when they time out on
+	 * their way. {@link PlatformStandIn#applyHeldWrites()} lets them land.
+	 * @param count the number of writes
+	 */
+	public void holdWrites(int count) {
+		this.writesToHold.set(count);
+	}
+
 	/**
 	 * Returns how often an operation was asked for.
 	 * @param operation the name in the API, such as {@code GetItem}
@@ -80,6 +91,11 @@
 				&& this.repliesToLose.getAndUpdate((count) -> Math.max(0, count - 1)) > 0;
 	}
 
+	boolean holdsWrite(String operation) {
+		return "TransactWriteItems".equals(operation)
+				&& this.writesToHold.getAndUpdate((count) -> Math.max(0, count - 1)) > 0;
+	}
+
 	private static void sleep(int millis) {
 		if (millis > 0) {
 			try {
--- a/standin/src/main/java/org/skylarkstack/standin/PlatformStandIn.java
+++ b/standin/src/main/java/org/skylarkstack/standin/PlatformStandIn.java
@@ -4,7 +4,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Queue;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -13,6 +15,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.javalin.config.JavalinConfig;
 import io.javalin.http.Context;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Stand-in for the platform: a table service with the DynamoDB API, an object store with
@@ -31,10 +34,14 @@
 
 	private final List<String> vmList = new CopyOnWriteArrayList<>();
 
+	private final Queue<JsonNode> heldWrites = new ConcurrentLinkedQueue<>();
+
 	private final PlatformFaults faults = new PlatformFaults();
 
 	private final HttpStandIn server;
 
+	private volatile @Nullable List<String> shownVmList;
+
 	/**
 	 * Starts a platform.
 	 * @param port the port on loopback, or 0 for a free one
@@ -47,7 +54,7 @@
 		config.routes.post("/{zone}/table", this::table);
 		config.routes.put("/{zone}/objects/<key>", this::putObject);
 		config.routes.get("/{zone}/objects/<key>", this::object);
-		config.routes.get("/{zone}/vms", (context) -> context.json(this.vmList));
+		config.routes.get("/{zone}/vms", this::vms);
 	}
 
 	/**
@@ -75,6 +82,37 @@
 		return this.vmList;
 	}
 
+	/**
+	 * Makes the list of VMs lag: while it does, callers see the list of this moment.
+	 * @param lags whether it lags
+	 */
+	public void vmListLags(boolean lags) {
+		this.shownVmList = lags ? List.copyOf(this.vmList) : null;
+	}
+
+	/**
+	 * Lets held writes land in the order of their arrival. Each one is applied only if
+	 * its conditions hold now.
+	 * @return the number of writes that took effect
+	 */
+	public int applyHeldWrites() {
+		int applied = 0;
+		for (JsonNode write = this.heldWrites.poll(); write != null; write = this.heldWrites.poll()) {
+			applied += this.table.transact(write).has("__type") ? 0 : 1;
+		}
+		return applied;
+	}
+
+	private void vms(Context context) {
+		List<String> shown = this.shownVmList;
+		if (this.faults.admit(context.pathParam("zone"), "ListVms")) {
+			context.json((shown != null) ? shown : this.vmList);
+		}
+		else {
+			context.status(503);
+		}
+	}
+
 	private void table(Context context) throws IOException {
 		String target = Optional.ofNullable(context.header("X-Amz-Target")).orElse("");
 		String operation = target.substring(target.indexOf('.') + 1);
@@ -83,6 +121,11 @@
 			return;
 		}
 		JsonNode request = this.mapper.readTree(context.bodyAsBytes());
+		if (this.faults.holdsWrite(operation)) {
+			this.heldWrites.add(request.path("TransactItems"));
+			context.status(500).contentType(JSON).result("{\"__type\":\"InternalServerError\"}");
+			return;
+		}
 		ObjectNode answer = switch (operation) {
 			case "GetItem" -> get(request);
 			case "Query" -> query(request);
--- a/standin/src/main/java/org/skylarkstack/standin/StandInTable.java
+++ b/standin/src/main/java/org/skylarkstack/standin/StandInTable.java
@@ -1,7 +1,9 @@
 package org.skylarkstack.standin;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
 
@@ -15,6 +17,13 @@
  */
 final class StandInTable {
 
+	/** Limits of the real service. */
+	private static final int MAX_ITEM_BYTES = 400 * 1024;
+
+	private static final int MAX_PAGE_BYTES = 1024 * 1024;
+
+	private static final int MAX_ACTIONS = 100;
+
 	private final TreeMap<String, JsonNode> items = new TreeMap<>();
 
 	static String keyOf(JsonNode attributes) {
@@ -29,16 +38,38 @@
 		return Optional.ofNullable(this.items.get(key));
 	}
 
+	// A page ends at 1 MB as in the real service.
 	synchronized List<JsonNode> query(String partition, String afterSort, int limit) {
-		return this.items.subMap(key(partition, afterSort), false, partition + '\1', false)
-			.values()
-			.stream()
-			.limit(limit)
-			.toList();
+		List<JsonNode> page = new ArrayList<>();
+		int bytes = 0;
+		for (JsonNode item : this.items.subMap(key(partition, afterSort), false, partition + '\1', false).values()) {
+			bytes += size(item);
+			if (page.size() == limit || (bytes > MAX_PAGE_BYTES && !page.isEmpty())) {
+				break;
+			}
+			page.add(item);
+		}
+		return page;
+	}
+
+	private static int size(JsonNode item) {
+		int bytes = 0;
+		for (Map.Entry<String, JsonNode> attribute : item.properties()) {
+			bytes += utf8(attribute.getKey()) + utf8(attribute.getValue().path("S").asText());
+		}
+		return bytes;
+	}
+
+	private static int utf8(String text) {
+		return text.getBytes(StandardCharsets.UTF_8).length;
 	}
 
 	synchronized ObjectNode transact(JsonNode actions) {
 		ObjectNode answer = JsonNodeFactory.instance.objectNode();
+		if (actions.isEmpty() || actions.size() > MAX_ACTIONS || !sizesAllowed(actions)) {
+			return answer.put("__type", "com.amazon.coral.validate#ValidationException")
+				.put("message", "too many actions or item size has exceeded the maximum allowed size");
+		}
 		List<Boolean> holds = new ArrayList<>();
 		actions.forEach((action) -> holds.add(conditionHolds(action)));
 		if (holds.contains(false)) {
@@ -52,6 +83,15 @@
 		return answer;
 	}
 
+	private static boolean sizesAllowed(JsonNode actions) {
+		for (JsonNode action : actions) {
+			if (size(action.path("Put").path("Item")) > MAX_ITEM_BYTES) {
+				return false;
+			}
+		}
+		return true;
+	}
+
 	private boolean conditionHolds(JsonNode action) {
 		JsonNode write = action.elements().next();
 		JsonNode attributes = action.has("Put") ? write.path("Item") : write.path("Key");
--- /dev/null
+++ b/testsuite/src/test/java/org/skylarkstack/testsuite/TicketSteps.java
@@ -0,0 +1,201 @@
+package org.skylarkstack.testsuite;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.function.BooleanSupplier;
+
+import io.cucumber.java.After;
+import io.cucumber.java.en.Given;
+import io.cucumber.java.en.Then;
+import io.cucumber.java.en.When;
+import okhttp3.Request;
+import org.jspecify.annotations.Nullable;
+import org.skylarkstack.configuration.Team;
+import org.skylarkstack.configuration.Ticket;
+import org.skylarkstack.configuration.TicketChange;
+import org.skylarkstack.fleet.FleetAnswer;
+import org.skylarkstack.fleet.FleetClient;
+import org.skylarkstack.fleet.FleetPlan;
+import org.skylarkstack.fleet.LocalFleet;
+import org.skylarkstack.fleet.VmPlan;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Steps about change tickets.
+ */
+public class TicketSteps {
+
+	private static final String KEY = "key-of-registers";
+
+	private static final Duration TIMEOUT = Duration.ofSeconds(30);
+
+	private static final long POLL_MILLIS = 50;
+
+	private @Nullable LocalFleet fleet;
+
+	private @Nullable FleetAnswer lastTicket;
+
+	private String lastReason = "";
+
+	/**
+	 * Starts a fleet without engines and sets it up with one team.
+	 * @param vms the number of VMs
+	 * @param dataCentres the number of data centres
+	 */
+	@Given("a fleet of {int} VMs in {int} data centres that takes tickets")
+	public void startFleet(int vms, int dataCentres) {
+		List<VmPlan> plans = new ArrayList<>();
+		for (int vm = 0; vm < vms; vm++) {
+			plans.add(new VmPlan("vm-" + vm, "dc-" + vm % dataCentres));
+		}
+		this.fleet = LocalFleet.start(new FleetPlan(plans, List.of(),
+				List.of(new Team("registers", 10_000, 60_000, 1, null)), Map.of(KEY, "registers"), "fair-queue"));
+		assertThat(client().submit("vm-0", fleet().firstTicket()).status()).isEqualTo(201);
+		assertThat(client().awaitReady(TIMEOUT)).isAtLeast(0L);
+	}
+
+	private LocalFleet fleet() {
+		return Objects.requireNonNull(this.fleet);
+	}
+
+	private FleetClient client() {
+		return new FleetClient(fleet());
+	}
+
+	/** Stops the fleet. */
+	@After
+	public void stopFleet() {
+		if (this.fleet != null) {
+			this.fleet.close();
+		}
+	}
+
+	@When("operator {string} submits ticket {int} that adds team {string} through VM {int}")
+	public void addTeam(String operator, int number, String team, int vm) {
+		submit(operator, number, new Team(team, 1_000, 5_000, 1, null), vm);
+	}
+
+	@When("operator {string} submits ticket {int} that lets key state of team {string} be {int} seconds old "
+			+ "through VM {int}")
+	public void limitAge(String operator, int number, String team, int seconds, int vm) {
+		submit(operator, number, new Team(team, 10_000, 60_000, 1, seconds), vm);
+		ticketIsRecorded();
+	}
+
+	private void submit(String operator, int number, Team team, int vm) {
+		this.lastTicket = client().submit("vm-" + vm, new Ticket(number, operator, List.of(TicketChange.set(team))));
+	}
+
+	@Then("the last ticket is recorded")
+	public void ticketIsRecorded() {
+		assertThat(Objects.requireNonNull(this.lastTicket).status()).isEqualTo(201);
+	}
+
+	@Then("the last ticket is refused with error {int} and {string}")
+	public void ticketIsRefused(int code, String reason) {
+		FleetAnswer answer = Objects.requireNonNull(this.lastTicket);
+		assertThat(answer.verdict()).isEqualTo("not-run");
+		assertThat(answer.body()).contains("\"code\":" + code);
+		assertThat(answer.body()).contains(reason);
+	}
+
+	@Then("ticket {int} is in force on every VM")
+	public void ticketIsInForce(int number) {
+		await(() -> fleet().vmIds().stream().allMatch((vmId) -> {
+			this.lastReason = operatorAnswer(vmId, "/configuration").body();
+			return this.lastReason.contains("\"appliedNumber\":" + number + ",");
+		}));
+		for (String vmId : fleet().vmIds()) {
+			String shown = operatorAnswer(vmId, "/tickets/" + number).body();
+			assertThat(shown).containsMatch("\"inForceOn\":\\[[^]]*\"" + vmId + "\"");
+		}
+	}
+
+	private FleetAnswer operatorAnswer(String vmId, String path) {
+		return client().send(new Request.Builder().url(fleet().operatorUrl(vmId) + "/operator/v1" + path)
+			.header("Authorization", "Bearer " + LocalFleet.OPERATOR_KEY)
+			.build());
+	}
+
+	@Given("the platform loses the next {int} reply")
+	public void loseReplies(int count) {
+		fleet().platform().faults().loseReplies(count);
+	}
+
+	@Given("the platform is down")
+	public void platformDown() {
+		fleet().platform().faults().down(true);
+	}
+
+	@When("the platform is up")
+	public void platformUp() {
+		fleet().platform().faults().down(false);
+	}
+
+	@When("data centre {string} is cut off from the platform and its peers")
+	public void cutOff(String dataCentre) {
+		fleet().platform().faults().cutOff(dataCentre, true);
+	}
+
+	@When("data centre {string} is connected again")
+	public void connect(String dataCentre) {
+		fleet().platform().faults().cutOff(dataCentre, false);
+	}
+
+	@When("the daemon of VM {int} restarts")
+	public void restart(int vm) {
+		fleet().stopDaemon("vm-" + vm);
+		fleet().startDaemon("vm-" + vm);
+	}
+
+	@Then("VM {int} is not ready")
+	public void notReady(int vm) {
+		assertThat(client().send(new Request.Builder().url(fleet().callerUrl("vm-" + vm) + "/readyz").build()).status())
+			.isEqualTo(503);
+	}
+
+	@Then("the key of team {string} works on VM {int}")
+	public void keyWorks(String team, int vm) {
+		assertThat(models(team, vm).status()).isEqualTo(200);
+	}
+
+	@Then("the key of team {string} works on VM {int} again")
+	public void keyWorksAgain(String team, int vm) {
+		await(() -> models(team, vm).status() == 200);
+	}
+
+	@Then("the key of team {string} is refused on VM {int} with error {int}")
+	public void keyIsRefused(String team, int vm, int code) {
+		await(() -> models(team, vm).body().contains("\"code\":" + code));
+		assertThat(models(team, vm).verdict()).isEqualTo("not-run");
+	}
+
+	private FleetAnswer models(String team, int vm) {
+		FleetAnswer answer = client().send(new Request.Builder().url(fleet().callerUrl("vm-" + vm) + "/v1/models")
+			.header("Authorization", "Bearer key-of-" + team)
+			.build());
+		this.lastReason = answer.body();
+		return answer;
+	}
+
+	private void await(BooleanSupplier condition) {
+		long started = System.nanoTime();
+		while (!condition.getAsBoolean()) {
+			if (System.nanoTime() - started > TIMEOUT.toNanos()) {
+				throw new AssertionError("not reached within %s; last answer: %s".formatted(TIMEOUT, this.lastReason));
+			}
+			try {
+				Thread.sleep(POLL_MILLIS);
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+				throw new AssertionError("interrupted", ex);
+			}
+		}
+	}
+
+}
