--- a/runtime/src/main/java/org/skylarkstack/configuration/Configuration.java
+++ b/runtime/src/main/java/org/skylarkstack/configuration/Configuration.java
@@ -93,11 +93,13 @@
 	/**
 	 * Creates a configuration from stored state.
 	 * @param appliedNumber the number up to which all tickets are contained
+	 * @param aheadNumbers the numbers of contained tickets that follow a missing one
 	 * @param objects the states of all objects, tombstones included
 	 * @return the configuration
 	 */
-	public static Configuration of(long appliedNumber, Map<ObjectKey, VersionedObject> objects) {
-		return new Configuration(appliedNumber, new TreeSet<>(), new HashMap<>(objects));
+	public static Configuration of(long appliedNumber, Collection<Long> aheadNumbers,
+			Map<ObjectKey, VersionedObject> objects) {
+		return new Configuration(appliedNumber, new TreeSet<>(aheadNumbers), new HashMap<>(objects));
 	}
 
 	/**
@@ -137,10 +139,10 @@
 	 * @return the merged configuration
 	 */
 	public Configuration merge(Configuration other) {
-		if (other == this || other.objects.isEmpty() && other.appliedNumber == 0) {
+		if (containsAll(other)) {
 			return this;
 		}
-		if (this.objects.isEmpty() && this.appliedNumber == 0) {
+		if (other.containsAll(this)) {
 			return other;
 		}
 		Map<ObjectKey, VersionedObject> merged = new HashMap<>(this.objects);
@@ -150,6 +152,10 @@
 		return new Configuration(Math.max(this.appliedNumber, other.appliedNumber), contained, merged);
 	}
 
+	private boolean containsAll(Configuration other) {
+		return other.appliedNumber <= this.appliedNumber && other.ahead.stream().allMatch(this::contains);
+	}
+
 	/**
 	 * Returns whether a ticket is merged in.
 	 * @param number the number of the ticket
--- a/runtime/src/main/java/org/skylarkstack/configuration/SnapshotCodec.java
+++ b/runtime/src/main/java/org/skylarkstack/configuration/SnapshotCodec.java
@@ -35,7 +35,8 @@
 			.toList();
 		ByteArrayOutputStream bytes = new ByteArrayOutputStream();
 		try (OutputStream compressed = new GZIPOutputStream(bytes)) {
-			this.mapper.writeValue(compressed, new Body(VERSION, configuration.appliedNumber(), entries));
+			this.mapper.writeValue(compressed, new Body(VERSION, configuration.appliedNumber(),
+					List.copyOf(configuration.aheadNumbers()), entries));
 		}
 		catch (IOException ex) {
 			throw new UncheckedIOException(ex);
@@ -59,11 +60,11 @@
 			body.entries()
 				.forEach(
 						(entry) -> objects.put(entry.key(), new VersionedObject(entry.ticketNumber(), entry.object())));
-			return Configuration.of(body.appliedNumber(), objects);
+			return Configuration.of(body.appliedNumber(), body.aheadNumbers(), objects);
 		}
 	}
 
-	private record Body(int version, long appliedNumber, List<Entry> entries) {
+	private record Body(int version, long appliedNumber, List<Long> aheadNumbers, List<Entry> entries) {
 
 	}
 
--- a/runtime/src/main/java/org/skylarkstack/configuration/TicketDraft.java
+++ b/runtime/src/main/java/org/skylarkstack/configuration/TicketDraft.java
@@ -1,6 +1,7 @@
 package org.skylarkstack.configuration;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 
 /**
@@ -9,16 +10,17 @@
  * @param number the number, or 0 if it cannot be read
  * @param author the operator, or an empty string if it cannot be read
  * @param changes the changes that can be read
- * @param unreadable the objects named by changes that cannot be read
+ * @param unreadable the objects set by changes that cannot be read, each with the objects
+ * that it refers to
  * @param problems the faults found while reading
  */
-public record TicketDraft(long number, String author, List<TicketChange> changes, Set<ObjectKey> unreadable,
-		List<String> problems) {
+public record TicketDraft(long number, String author, List<TicketChange> changes,
+		Map<ObjectKey, Set<ObjectKey>> unreadable, List<String> problems) {
 
 	/** Copies the collections. */
 	public TicketDraft {
 		changes = List.copyOf(changes);
-		unreadable = Set.copyOf(unreadable);
+		unreadable = Map.copyOf(unreadable);
 		problems = List.copyOf(problems);
 	}
 
--- a/runtime/src/main/java/org/skylarkstack/configuration/TicketReader.java
+++ b/runtime/src/main/java/org/skylarkstack/configuration/TicketReader.java
@@ -3,8 +3,10 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
@@ -65,16 +67,21 @@
 		Set<String> problems = new TreeSet<>();
 		Set<Integer> faulty = new HashSet<>();
 		for (ValidationMessage fault : this.schema.validate(json)) {
-			problems.add(fault.getInstanceLocation() + ": " + fault.getMessage());
+			// The message starts with the pointer and never repeats a value, which may be
+			// a key.
+			problems.add(fault.getMessage());
 			changeIndex(fault).ifPresent(faulty::add);
 		}
 		List<TicketChange> changes = new ArrayList<>();
-		Set<ObjectKey> unreadable = new HashSet<>();
+		Map<ObjectKey, Set<ObjectKey>> unreadable = new HashMap<>();
 		for (int index = 0; index < json.path("changes").size(); index++) {
 			JsonNode change = json.path("changes").get(index);
 			try {
 				if (faulty.contains(index)) {
-					unreadable.add(this.mapper.treeToValue(change.path("key"), ObjectKey.class));
+					ObjectKey key = this.mapper.treeToValue(change.path("key"), ObjectKey.class);
+					if (unreadable.put(key, references(change.path("object"))) != null) {
+						problems.add("/changes/%d: the object is changed twice".formatted(index));
+					}
 				}
 				else {
 					changes.add(this.mapper.treeToValue(change, TicketChange.class));
@@ -90,6 +97,17 @@
 				unreadable, List.copyOf(problems));
 	}
 
+	private static Set<ObjectKey> references(JsonNode object) {
+		Set<ObjectKey> references = new HashSet<>();
+		if (object.path("teamId").isTextual()) {
+			references.add(new ObjectKey(ObjectKind.TEAM, object.path("teamId").asText()));
+		}
+		if (object.path("serviceId").isTextual()) {
+			references.add(new ObjectKey(ObjectKind.SERVICE, object.path("serviceId").asText()));
+		}
+		return references;
+	}
+
 	private static String rootMessage(Throwable failure) {
 		Throwable root = failure;
 		while (root.getCause() != null) {
--- a/runtime/src/main/java/org/skylarkstack/configuration/TicketValidator.java
+++ b/runtime/src/main/java/org/skylarkstack/configuration/TicketValidator.java
@@ -32,7 +32,7 @@
 		if (bytes > MAX_BODY_BYTES) {
 			problems.add("the body has %d bytes; at most %d are allowed".formatted(bytes, MAX_BODY_BYTES));
 		}
-		Set<ObjectKey> seen = new HashSet<>();
+		Set<ObjectKey> seen = new HashSet<>(draft.unreadable().keySet());
 		draft.changes()
 			.stream()
 			.map(TicketChange::key)
@@ -49,6 +49,8 @@
 				checkObject(object, after, found);
 			}
 		}
+		draft.unreadable()
+			.forEach((by, names) -> names.forEach((key) -> after.require(key.kind(), key.id(), name(by), found)));
 		checkRemaining(after, found);
 		problems.addAll(found);
 		return problems;
@@ -147,7 +149,7 @@
 		private final Set<ObjectKey> unreadable;
 
 		After(TicketDraft draft, Configuration before) {
-			this.unreadable = draft.unreadable();
+			this.unreadable = draft.unreadable().keySet();
 			before.objects().forEach((key, state) -> {
 				ConfigurationObject object = state.object();
 				if (object != null) {
--- a/runtime/src/test/java/org/skylarkstack/configuration/TicketLogTests.java
+++ b/runtime/src/test/java/org/skylarkstack/configuration/TicketLogTests.java
@@ -213,7 +213,8 @@
 				"/changes/4/object/keyHash", "/changes/4/object/teamId", "/changes/5",
 				"/changes/6/object/tokensPerSecond", "/changes/6/object/burstTokens", "/changes/6/object/weight",
 				"route r2 names service missing, which does not exist", "route r and route r2 both match GET /x",
-				"engine e1 has URL ftp://h", "service s2 names http://h:1 twice", "team none is changed twice")) {
+				"engine e1 has URL ftp://h", "key k3 names team b b, which does not exist",
+				"service s2 names http://h:1 twice", "team none is changed twice")) {
 			assertThat(reasons).contains(reason);
 		}
 		// Team e is there, only unreadable; and a key that was sent in place of its hash
