--- a/standin/src/main/java/org/skylarkstack/standin/HttpStandIn.java
+++ b/standin/src/main/java/org/skylarkstack/standin/HttpStandIn.java
@@ -20,6 +20,9 @@
 	/** Blocked handlers are interrupted after half of this time. */
 	private static final int STOP_MILLIS = 100;
 
+	/** A configuration snapshot has several megabytes, more than the default of 1 MB. */
+	private static final long MAX_REQUEST_BYTES = 64L * 1024 * 1024;
+
 	private final Javalin server;
 
 	private final int port;
@@ -35,6 +38,7 @@
 			threads.setName("stand-in");
 			threads.setStopTimeout(STOP_MILLIS);
 			config.jetty.threadPool = threads;
+			config.http.maxRequestSize = MAX_REQUEST_BYTES;
 			routes.accept(config);
 		}).start(LOOPBACK, port);
 		this.port = this.server.port();
