--- a/runtime/src/test/java/org/skylarkstack/configuration/TicketSyncTests.java
+++ b/runtime/src/test/java/org/skylarkstack/configuration/TicketSyncTests.java
@@ -82,10 +82,24 @@
 		setUp(Tickets.team("a"));
 		submit(3, Tickets.ticket(2, "ann", Tickets.team("b")));
 		this.store.downAfter(0);
-		run(Duration.ofSeconds(10));
+		// No pull is due yet, so these heard of the ticket by pushes alone.
+		run(Duration.ofSeconds(2));
+		assertThat(this.nodes.values().stream().filter((node) -> node.applied() == 2).count()).isAtLeast(10);
+		run(Duration.ofSeconds(8));
 		this.nodes.values().forEach((node) -> assertThat(node.applied()).isEqualTo(2));
 	}
 
+	/**
+	 * Guards against a starting daemon that serves with one ticket but not the others.
+	 */
+	@Test
+	void ticketsAloneDoNotComeIntoForceWhileEmpty() {
+		start(1);
+		String body = new TicketCodec().write(Tickets.ticket(1, "ann", Tickets.team("a"), Tickets.key("k", "a")));
+		node(0).sync.onPush("vm-9", new TicketPush(0, List.of(body), 2, new HeadEvidence(2, 0)), this.now);
+		assertThat(node(0).configuration.current()).isSameInstanceAs(Configuration.EMPTY);
+	}
+
 	/** Guards against a restart during an outage that ends without a configuration. */
 	@Test
 	void restartWhileTheStoreIsDownTakesTheStateFromAPeer() {
--- a/testsuite/src/test/java/org/skylarkstack/testsuite/TicketSteps.java
+++ b/testsuite/src/test/java/org/skylarkstack/testsuite/TicketSteps.java
@@ -1,5 +1,8 @@
 package org.skylarkstack.testsuite;
 
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -21,6 +24,7 @@
 import org.skylarkstack.fleet.FleetPlan;
 import org.skylarkstack.fleet.LocalFleet;
 import org.skylarkstack.fleet.VmPlan;
+import org.skylarkstack.tool.Main;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -35,6 +39,8 @@
 
 	private static final long POLL_MILLIS = 50;
 
+	private final List<Integer> exitCodes = new ArrayList<>();
+
 	private @Nullable LocalFleet fleet;
 
 	private @Nullable FleetAnswer lastTicket;
@@ -90,6 +96,33 @@
 		this.lastTicket = client().submit("vm-" + vm, new Ticket(number, operator, List.of(TicketChange.set(team))));
 	}
 
+	@When("an operator applies ticket {int} on the command line twice")
+	public void applyOnCommandLine(int number) throws IOException {
+		Path key = Files.writeString(Files.createTempFile("operator", ".key"), LocalFleet.OPERATOR_KEY + "\n");
+		Path ticket = Files.createTempFile("ticket", ".json");
+		Files.writeString(ticket, """
+				{"number": %d, "author": "ann", "changes": [{"key": {"kind": "TEAM", "id": "pumps"}, "object":
+				 {"kind": "TEAM", "id": "pumps", "tokensPerSecond": 5, "burstTokens": 5, "weight": 1}}]}
+				""".formatted(number));
+		this.exitCodes.clear();
+		for (int time = 0; time < 2; time++) {
+			this.exitCodes.add(Main.run(List.of("ticket", "--url", fleet().operatorUrl("vm-0"), "--key-file",
+					key.toString(), "apply", ticket.toString())));
+		}
+		Files.delete(key);
+		Files.delete(ticket);
+	}
+
+	@Then("the command succeeds")
+	public void commandSucceeds() {
+		assertThat(this.exitCodes).containsExactly(0, 0);
+	}
+
+	@Then("the command fails")
+	public void commandFails() {
+		assertThat(this.exitCodes).containsExactly(1, 1);
+	}
+
 	@Then("the last ticket is recorded")
 	public void ticketIsRecorded() {
 		assertThat(Objects.requireNonNull(this.lastTicket).status()).isEqualTo(201);
--- a/testsuite/src/test/resources/org/skylarkstack/testsuite/tickets.feature
+++ b/testsuite/src/test/resources/org/skylarkstack/testsuite/tickets.feature
@@ -43,3 +43,11 @@
     And the key of team "registers" works on VM 0
     When data centre "dc-1" is connected again
     Then the key of team "registers" works on VM 1 again
+
+  Scenario: The command line applies a ticket once and shows it
+    Given a fleet of 1 VMs in 1 data centres that takes tickets
+    When an operator applies ticket 2 on the command line twice
+    Then the command succeeds
+    And ticket 2 is in force on every VM
+    When an operator applies ticket 9 on the command line twice
+    Then the command fails
