--- a/bench/src/main/java/org/skylarkstack/fleet/LocalFleet.java
+++ b/bench/src/main/java/org/skylarkstack/fleet/LocalFleet.java
@@ -102,7 +102,7 @@
 	 * @param vmId the VM
 	 */
 	public void stopDaemon(String vmId) {
-		Optional.ofNullable(this.daemons.remove(vmId)).ifPresent(Daemon::close);
+		Optional.ofNullable(this.daemons.remove(vmId)).ifPresent(Daemon::shutDown);
 	}
 
 	/**
--- a/daemon/src/main/java/org/skylarkstack/daemon/Daemon.java
+++ b/daemon/src/main/java/org/skylarkstack/daemon/Daemon.java
@@ -10,6 +10,8 @@
 import org.skylarkstack.configuration.TicketLog;
 import org.skylarkstack.http.CallerApi;
 import org.skylarkstack.http.OperatorApi;
+import org.skylarkstack.request.OpenRequests;
+import org.skylarkstack.request.ShutdownSequence;
 import org.skylarkstack.settings.DaemonSettings;
 import org.skylarkstack.settings.ListenAddress;
 import org.skylarkstack.store.StoreException;
@@ -26,6 +28,8 @@
 
 	private static final long TICKET_POLL_MILLIS = 500;
 
+	private static final long SHUTDOWN_POLL_MILLIS = 20;
+
 	private final DaemonSettings settings;
 
 	private final CallerApi callerApi;
@@ -37,6 +41,12 @@
 	private final ScheduledExecutorService poller = Executors
 		.newSingleThreadScheduledExecutor((task) -> new Thread(task, "ticket-poll"));
 
+	private final RequestDuties requestDuties;
+
+	private final ShutdownSequence shutdown;
+
+	private final OpenRequests openRequests;
+
 	private final Javalin callerServer;
 
 	private final Javalin operatorServer;
@@ -47,13 +57,20 @@
 	 * @param callerApi the API for callers
 	 * @param operatorApi the API for operators
 	 * @param tickets the ticket log
+	 * @param requestDuties the periodic work of the request path
+	 * @param shutdown the order of a graceful shutdown
+	 * @param openRequests the open requests
 	 */
 	@Inject
-	public Daemon(DaemonSettings settings, CallerApi callerApi, OperatorApi operatorApi, TicketLog tickets) {
+	public Daemon(DaemonSettings settings, CallerApi callerApi, OperatorApi operatorApi, TicketLog tickets,
+			RequestDuties requestDuties, ShutdownSequence shutdown, OpenRequests openRequests) {
 		this.settings = settings;
 		this.callerApi = callerApi;
 		this.operatorApi = operatorApi;
 		this.tickets = tickets;
+		this.requestDuties = requestDuties;
+		this.shutdown = shutdown;
+		this.openRequests = openRequests;
 		this.callerServer = Javalin.create((config) -> {
 			config.startup.showJavalinBanner = false;
 			this.callerApi.register(config);
@@ -81,6 +98,7 @@
 		this.callerServer.start(caller.host(), caller.port());
 		this.operatorServer.start(operator.host(), operator.port());
 		this.poller.scheduleWithFixedDelay(this::poll, 0, TICKET_POLL_MILLIS, TimeUnit.MILLISECONDS);
+		this.requestDuties.start();
 		LOG.atInfo()
 			.addKeyValue("event", "daemon_started")
 			.addKeyValue("vm", this.settings.vmId())
@@ -114,11 +132,48 @@
 		return this.operatorServer.port();
 	}
 
+	/** Shuts down without cutting a request off, within the bounds of the settings. */
+	public void shutDown() {
+		this.shutdown.begin(System.nanoTime());
+		while (pollShutdown() != ShutdownSequence.Phase.STOPPED) {
+			if (!pause()) {
+				break;
+			}
+		}
+		close();
+	}
+
+	private ShutdownSequence.Phase pollShutdown() {
+		ShutdownSequence.Phase phase = this.shutdown.poll(this.openRequests.open(), System.nanoTime());
+		if (phase == ShutdownSequence.Phase.DRAINING) {
+			this.openRequests.refuseNew();
+		}
+		else if (phase == ShutdownSequence.Phase.ENDING) {
+			this.openRequests.endAll();
+		}
+		return phase;
+	}
+
+	private static boolean pause() {
+		try {
+			Thread.sleep(SHUTDOWN_POLL_MILLIS);
+			return true;
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return false;
+		}
+	}
+
+	/** Stops at once; open requests end with an explicit error where that can be sent. */
 	@Override
 	public void close() {
 		this.poller.shutdownNow();
+		this.openRequests.refuseNew();
+		this.openRequests.endAll();
 		this.callerServer.stop();
 		this.operatorServer.stop();
+		this.requestDuties.close();
 	}
 
 }
--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/engine/BackendClients.java
@@ -0,0 +1,104 @@
+package org.skylarkstack.engine;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import com.github.benmanes.caffeine.cache.Cache;
+import com.github.benmanes.caffeine.cache.Caffeine;
+import okhttp3.ConnectionPool;
+import okhttp3.OkHttpClient;
+import okhttp3.Protocol;
+import okhttp3.Response;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * HTTP clients for backend servers, with one connection pool for each server.
+ *
+ * <p>
+ * When one connection to a server went silent, its pooled neighbours are suspects too:
+ * the server gets a new, empty pool. Calls under way end on the old pool, which is never
+ * used again.
+ */
+public final class BackendClients {
+
+	// The largest configuration has 600 engines and fewer plain backend servers.
+	private static final int MAX_SERVERS = 4_096;
+
+	private static final int MAX_IDLE_CONNECTIONS = 64;
+
+	private static final long KEEP_ALIVE_SECONDS = 20;
+
+	private final OkHttpClient base;
+
+	private final OkHttpClient fresh;
+
+	private final Cache<String, ConnectionPool> pools = Caffeine.newBuilder()
+		.maximumSize(MAX_SERVERS)
+		.expireAfterAccess(Duration.ofHours(1))
+		.build();
+
+	/**
+	 * Creates the clients.
+	 * @param connectMillis the bound for connecting in milliseconds
+	 */
+	public BackendClients(int connectMillis) {
+		this.base = new OkHttpClient.Builder().retryOnConnectionFailure(false)
+			.followRedirects(false)
+			.followSslRedirects(false)
+			.protocols(List.of(Protocol.HTTP_1_1))
+			.connectTimeout(Duration.ofMillis(connectMillis))
+			.addNetworkInterceptor(new SingleSend())
+			.eventListenerFactory(SendTracker::of)
+			.build();
+		this.fresh = this.base.newBuilder().connectionPool(new ConnectionPool(0, 1, TimeUnit.SECONDS)).build();
+	}
+
+	/**
+	 * Returns a client that reuses idle connections to a server.
+	 * @param server the server's base URL
+	 * @param idleMillis the bound for reads and writes in milliseconds
+	 * @return the client
+	 */
+	public OkHttpClient pooled(String server, int idleMillis) {
+		ConnectionPool pool = this.pools.get(server,
+				(key) -> new ConnectionPool(MAX_IDLE_CONNECTIONS, KEEP_ALIVE_SECONDS, TimeUnit.SECONDS));
+		return bounded(this.base.newBuilder().connectionPool(pool), idleMillis);
+	}
+
+	/**
+	 * Returns a client that opens a new connection for each call and closes it after.
+	 * @param idleMillis the bound for reads and writes in milliseconds
+	 * @return the client
+	 */
+	public OkHttpClient fresh(int idleMillis) {
+		return bounded(this.fresh.newBuilder(), idleMillis);
+	}
+
+	private static OkHttpClient bounded(OkHttpClient.Builder builder, int idleMillis) {
+		Duration bound = Duration.ofMillis(idleMillis);
+		return builder.readTimeout(bound).writeTimeout(bound).build();
+	}
+
+	/**
+	 * Drops the idle connections to a server because one of its connections went silent.
+	 * @param server the server's base URL
+	 */
+	public void suspect(String server) {
+		ConnectionPool pool = this.pools.getIfPresent(server);
+		if (pool != null) {
+			this.pools.invalidate(server);
+			pool.evictAll();
+		}
+	}
+
+	/**
+	 * Returns the Retry-After header of an answer.
+	 * @param response the answer
+	 * @return the header as the backend server sent it, if any
+	 */
+	public static @Nullable String retryAfter(Response response) {
+		return response.header(SingleSend.BACKEND_RETRY_AFTER);
+	}
+
+}
--- a/runtime/src/main/java/org/skylarkstack/engine/EngineFailures.java
+++ b/runtime/src/main/java/org/skylarkstack/engine/EngineFailures.java
@@ -1,19 +1,20 @@
 package org.skylarkstack.engine;
 
-import java.io.IOException;
-import java.io.InterruptedIOException;
-import java.net.ConnectException;
-import java.net.NoRouteToHostException;
-
 import org.skylarkstack.kernel.ErrorType;
 import org.skylarkstack.kernel.RouterException;
 import org.skylarkstack.kernel.Verdict;
 
 /**
- * Translates failures of HTTP calls into errors with a verdict.
+ * Translates error statuses of engines into errors with a verdict.
  */
 public final class EngineFailures {
 
+	private static final int BAD_REQUEST = 400;
+
+	private static final int GONE = 410;
+
+	private static final int UNPROCESSABLE = 422;
+
 	private static final int TOO_MANY_REQUESTS = 429;
 
 	private static final int SERVICE_UNAVAILABLE = 503;
@@ -21,35 +22,23 @@
 	private EngineFailures() {
 	}
 
-	/**
-	 * Translates a failed call. Only a failed connect proves that no byte was sent.
-	 * @param server the backend server
-	 * @param failure the failure
-	 * @return the error
-	 */
-	public static RouterException translate(String server, IOException failure) {
-		if (failure instanceof ConnectException || failure instanceof NoRouteToHostException) {
-			return RouterException.of(ErrorType.BACKEND_UNREACHABLE, Verdict.NOT_RUN, failure, server);
-		}
-		if (failure instanceof InterruptedIOException) {
-			return RouterException.of(ErrorType.BACKEND_TIMEOUT, Verdict.MAY_HAVE_RUN, failure, server,
-					"the idle bound in");
-		}
-		return RouterException.of(ErrorType.BACKEND_FAILED, Verdict.MAY_HAVE_RUN, failure, server,
-				String.valueOf(failure.getMessage()));
-	}
-
 	/**
 	 * Translates an error status of an engine. An engine that is full refuses before it
-	 * runs anything.
+	 * runs anything, and an engine that finds a body faulty would find it so again.
 	 * @param server the engine
 	 * @param status the HTTP status
 	 * @return the error
 	 */
 	public static RouterException status(String server, int status) {
-		boolean refused = status == TOO_MANY_REQUESTS || status == SERVICE_UNAVAILABLE;
-		return RouterException.of(ErrorType.BACKEND_FAILED, refused ? Verdict.NOT_RUN : Verdict.MAY_HAVE_RUN, null,
-				server, "status " + status);
+		return switch (status) {
+			case BAD_REQUEST, UNPROCESSABLE ->
+				new RouterException(ErrorType.BAD_REQUEST, "the engine refuses the body with status " + status);
+			case GONE -> new RouterException(ErrorType.PREFILL_GONE, server);
+			case TOO_MANY_REQUESTS, SERVICE_UNAVAILABLE -> RouterException.of(ErrorType.BACKEND_FAILED, Verdict.NOT_RUN,
+					null, server, "it is full, status " + status);
+			default ->
+				RouterException.of(ErrorType.BACKEND_FAILED, Verdict.MAY_HAVE_RUN, null, server, "status " + status);
+		};
 	}
 
 }
--- a/runtime/src/main/java/org/skylarkstack/engine/HttpEngineClient.java
+++ b/runtime/src/main/java/org/skylarkstack/engine/HttpEngineClient.java
@@ -1,21 +1,23 @@
 package org.skylarkstack.engine;
 
 import java.io.IOException;
-import java.time.Duration;
+import java.io.InterruptedIOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import okhttp3.Call;
 import okhttp3.MediaType;
-import okhttp3.OkHttpClient;
 import okhttp3.Request;
 import okhttp3.RequestBody;
 import okhttp3.Response;
 import org.skylarkstack.configuration.EngineNode;
+import org.skylarkstack.kernel.Cancellation;
 import org.skylarkstack.kernel.ErrorType;
 import org.skylarkstack.kernel.RouterException;
 import org.skylarkstack.kernel.Verdict;
@@ -25,7 +27,8 @@
  * Engine adapter over the OpenAI-compatible HTTP API. KV cache is handed over with
  * {@code kv_transfer_params}: the prefill answer carries the parameters, and the decode
  * request passes them on. Token offsets travel as server-sent event ids, and a resumed
- * stream names the last one in {@code Last-Event-ID}.
+ * stream names the last one in {@code Last-Event-ID}. An engine answers 410 to a decode
+ * whose prefill result is gone.
  */
 public final class HttpEngineClient implements EngineClient {
 
@@ -39,44 +42,56 @@
 
 	private static final int REPORT_TIMEOUT_MILLIS = 1_000;
 
+	private static final int NOT_FOUND = 404;
+
+	private static final int GONE = 410;
+
 	private final ObjectMapper mapper = new ObjectMapper();
 
-	private final OkHttpClient prefillClient;
+	private final BackendClients clients;
 
-	private final OkHttpClient decodeClient;
+	private final BackendTimeouts timeouts;
 
-	private final OkHttpClient reportClient;
+	private final AtomicLong crossedAnswers = new AtomicLong();
 
 	/**
 	 * Creates a client.
-	 * @param base the shared connection pool and dispatcher; its own retries must be off
+	 * @param clients the connections to engines
 	 * @param timeouts the idle bounds
 	 */
-	public HttpEngineClient(OkHttpClient base, BackendTimeouts timeouts) {
-		this.prefillClient = withReadTimeout(base, timeouts.prefillIdleMillis());
-		this.decodeClient = withReadTimeout(base, timeouts.tokenIdleMillis());
-		this.reportClient = withReadTimeout(base, REPORT_TIMEOUT_MILLIS);
+	public HttpEngineClient(BackendClients clients, BackendTimeouts timeouts) {
+		this.clients = clients;
+		this.timeouts = timeouts;
 	}
 
-	private static OkHttpClient withReadTimeout(OkHttpClient base, int millis) {
-		return base.newBuilder().readTimeout(Duration.ofMillis(millis)).build();
+	/**
+	 * Returns how many answers and events named another request or attempt and were
+	 * dropped.
+	 * @return the count since start
+	 */
+	public long crossedAnswers() {
+		return this.crossedAnswers.get();
 	}
 
 	@Override
 	public PrefillResult prefill(EngineNode engine, EngineCall call) {
 		ObjectNode body = call.body().deepCopy();
-		body.put("stream", false).put("max_tokens", 1);
-		body.remove("stream_options");
+		body.put("stream", false).put("max_tokens", 1).put("n", 1);
+		body.remove(List.of("stream_options", "max_completion_tokens", "best_of"));
 		body.putObject("kv_transfer_params").put("do_remote_decode", true);
-		Request request = post(engine, call, body).build();
-		try (Response response = this.prefillClient.newCall(request).execute()) {
-			checkAnswer(engine, call, response);
+		int bound = this.timeouts.prefillIdleMillis();
+		Exchange exchange = new Exchange(engine, call, post(engine, call, body), bound, bound);
+		try (Response response = exchange.execute(); Cancellation.Registration registration = exchange.cancellation()) {
 			JsonNode answer = this.mapper.readTree(response.body().byteStream());
-			return new PrefillResult(answer.path("kv_transfer_params"),
-					answer.path("usage").path("prompt_tokens").asInt());
+			JsonNode parameters = answer.path("kv_transfer_params");
+			if (!parameters.isObject()) {
+				throw RouterException.of(ErrorType.BACKEND_FAILED, Verdict.MAY_HAVE_RUN, null, engine.id(),
+						"the prefill answer has no kv_transfer_params");
+			}
+			return new PrefillResult(parameters, answer.path("usage").path("prompt_tokens").asInt());
 		}
 		catch (IOException ex) {
-			throw EngineFailures.translate(engine.id(), ex);
+			throw exchange.failure(ex);
 		}
 	}
 
@@ -89,15 +104,12 @@
 		if (resumeOffset > 0) {
 			request.header("Last-Event-ID", Integer.toString(resumeOffset));
 		}
-		Call decode = this.decodeClient.newCall(request.build());
-		try {
-			Response response = decode.execute();
-			checkAnswer(engine, call, response);
-			return new ServerSentEventStream(engine.id(), decode, response);
-		}
-		catch (IOException ex) {
-			throw EngineFailures.translate(engine.id(), ex);
-		}
+		int bound = this.timeouts.firstTokenIdleMillis();
+		Exchange exchange = new Exchange(engine, call, request, bound, 0);
+		Response response = exchange.execute();
+		exchange.cancellation().close();
+		return new ServerSentEventStream(engine.id(), call, exchange.call, response, bound,
+				this.timeouts.tokenIdleMillis(), this.crossedAnswers, () -> this.clients.suspect(engine.url()));
 	}
 
 	private Request.Builder post(EngineNode engine, EngineCall call, JsonNode body) {
@@ -107,36 +119,25 @@
 			.post(RequestBody.create(body.toString(), JSON));
 	}
 
-	private static void checkAnswer(EngineNode engine, EngineCall call, Response response) {
-		String answered = response.header(REQUEST_ID);
-		if (!call.requestId().equals(answered)) {
-			response.close();
-			throw RouterException.of(ErrorType.BACKEND_FAILED, Verdict.MAY_HAVE_RUN, null, engine.id(),
-					"it answered request " + answered);
-		}
-		if (!response.isSuccessful()) {
-			int status = response.code();
-			response.close();
-			throw EngineFailures.status(engine.id(), status);
+	static RouterException sentFailure(String engineId, int boundMillis, IOException failure) {
+		if (failure instanceof InterruptedIOException) {
+			return RouterException.of(ErrorType.BACKEND_TIMEOUT, Verdict.MAY_HAVE_RUN, failure, engineId, boundMillis);
 		}
+		return RouterException.of(ErrorType.BACKEND_FAILED, Verdict.MAY_HAVE_RUN, failure, engineId,
+				String.valueOf(failure.getMessage()));
 	}
 
 	@Override
 	public void cancel(EngineNode engine, String requestId) {
 		Request request = new Request.Builder().url(engine.url() + "/v1/requests/" + requestId).delete().build();
-		try (Response response = this.reportClient.newCall(request).execute()) {
-			if (!response.isSuccessful()) {
-				throw EngineFailures.status(engine.id(), response.code());
-			}
-		}
-		catch (IOException ex) {
-			throw EngineFailures.translate(engine.id(), ex);
-		}
+		report(engine, request, Response::isSuccessful, true);
 	}
 
 	@Override
 	public List<HeldRequest> held(EngineNode engine) {
-		JsonNode list = readJson(engine, "/v1/requests");
+		Request request = new Request.Builder().url(engine.url() + "/v1/requests").build();
+		JsonNode list = report(engine, request, (response) -> this.mapper.readTree(response.body().byteStream()),
+				false);
 		List<HeldRequest> held = new ArrayList<>();
 		for (JsonNode item : list) {
 			held.add(new HeldRequest(item.path("request_id").asText(), item.path("owner").asText(),
@@ -145,31 +146,113 @@
 		return held;
 	}
 
-	private JsonNode readJson(EngineNode engine, String path) {
-		Request request = new Request.Builder().url(engine.url() + path).build();
-		try (Response response = this.reportClient.newCall(request).execute()) {
-			if (!response.isSuccessful()) {
+	@Override
+	public EngineLoad load(EngineNode engine) {
+		Request request = new Request.Builder().url(engine.url() + "/metrics").build();
+		return report(engine, request, (response) -> LoadReportParser.parse(response.body().string()), false);
+	}
+
+	// Makes a short call on a new connection, because a pooled one may have gone silent
+	// without anyone noticing.
+	private <T> T report(EngineNode engine, Request request, Reader<T> reader, boolean mayBeUnknown) {
+		SendTracker tracker = new SendTracker();
+		Request tagged = request.newBuilder().tag(SendTracker.class, tracker).header("Connection", "close").build();
+		Call call = this.clients.fresh(REPORT_TIMEOUT_MILLIS).newCall(tagged);
+		call.timeout().timeout(2L * REPORT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+		try (Response response = call.execute()) {
+			boolean unknown = response.code() == NOT_FOUND || response.code() == GONE;
+			if (!response.isSuccessful() && !(mayBeUnknown && unknown)) {
 				throw EngineFailures.status(engine.id(), response.code());
 			}
-			return this.mapper.readTree(response.body().byteStream());
+			return reader.read(response);
 		}
 		catch (IOException ex) {
-			throw EngineFailures.translate(engine.id(), ex);
+			throw tracker.translate(engine.id(), REPORT_TIMEOUT_MILLIS, ex);
 		}
 	}
 
-	@Override
-	public EngineLoad load(EngineNode engine) {
-		Request request = new Request.Builder().url(engine.url() + "/metrics").build();
-		try (Response response = this.reportClient.newCall(request).execute()) {
-			if (!response.isSuccessful()) {
-				throw EngineFailures.status(engine.id(), response.code());
+	/**
+	 * Reads an answer.
+	 *
+	 * @param <T> the result type
+	 */
+	private interface Reader<T> {
+
+		T read(Response response) throws IOException;
+
+	}
+
+	/**
+	 * One call of an engine up to the headers of its answer.
+	 */
+	private final class Exchange {
+
+		private final EngineNode engine;
+
+		private final EngineCall engineCall;
+
+		private final SendTracker tracker = new SendTracker();
+
+		private final int boundMillis;
+
+		private final Call call;
+
+		private final Cancellation.Registration registration;
+
+		Exchange(EngineNode engine, EngineCall engineCall, Request.Builder request, int boundMillis, int totalMillis) {
+			this.engine = engine;
+			this.engineCall = engineCall;
+			this.boundMillis = boundMillis;
+			this.call = HttpEngineClient.this.clients.pooled(engine.url(), boundMillis)
+				.newCall(request.tag(SendTracker.class, this.tracker).build());
+			this.call.timeout().timeout(totalMillis, TimeUnit.MILLISECONDS);
+			this.registration = engineCall.cancellation().onCancel(this.call::cancel);
+		}
+
+		Cancellation.Registration cancellation() {
+			return this.registration;
+		}
+
+		Response execute() {
+			try {
+				Response response = this.call.execute();
+				check(response);
+				return response;
+			}
+			catch (IOException ex) {
+				this.registration.close();
+				throw failure(ex);
+			}
+			catch (RouterException ex) {
+				this.registration.close();
+				throw ex;
 			}
-			return LoadReportParser.parse(response.body().string());
 		}
-		catch (IOException ex) {
-			throw EngineFailures.translate(engine.id(), ex);
+
+		private void check(Response response) {
+			String answered = response.header(REQUEST_ID);
+			if (response.isSuccessful() && this.engineCall.requestId().equals(answered)) {
+				return;
+			}
+			int status = response.code();
+			response.close();
+			if (answered != null && !this.engineCall.requestId().equals(answered) || response.isSuccessful()) {
+				HttpEngineClient.this.crossedAnswers.incrementAndGet();
+				throw RouterException.of(ErrorType.BACKEND_FAILED, Verdict.MAY_HAVE_RUN, null, this.engine.id(),
+						"it answered request " + answered);
+			}
+			throw EngineFailures.status(this.engine.id(), status);
 		}
+
+		RouterException failure(IOException cause) {
+			this.engineCall.cancellation().check(this.tracker.verdict());
+			RouterException failure = this.tracker.translate(this.engine.id(), this.boundMillis, cause);
+			if (failure.type() == ErrorType.BACKEND_TIMEOUT) {
+				HttpEngineClient.this.clients.suspect(this.engine.url());
+			}
+			return failure;
+		}
+
 	}
 
 }
--- a/runtime/src/main/java/org/skylarkstack/engine/ServerSentEventStream.java
+++ b/runtime/src/main/java/org/skylarkstack/engine/ServerSentEventStream.java
@@ -1,26 +1,35 @@
 package org.skylarkstack.engine;
 
 import java.io.IOException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 
 import okhttp3.Call;
 import okhttp3.Response;
 import okio.BufferedSource;
 import org.jspecify.annotations.Nullable;
+import org.skylarkstack.kernel.Cancellation;
 import org.skylarkstack.kernel.ErrorType;
 import org.skylarkstack.kernel.RouterException;
 import org.skylarkstack.kernel.Verdict;
 
 /**
  * Reads a stream of server-sent events from an engine. A stream that ends without the end
- * marker is truncated.
+ * marker is truncated. Events of other requests are dropped and counted. The idle bound
+ * counts from event to event, so that comments or half lines do not extend it.
  */
 final class ServerSentEventStream implements DecodeStream {
 
 	private static final String END_MARKER = "[DONE]";
 
-	private static final String DATA = "data: ";
+	private static final String DATA = "data:";
 
-	private static final String ID = "id: ";
+	private static final String ID = "id:";
+
+	// An event holds one token; the bound keeps a faulty engine from filling the heap.
+	private static final long MAX_LINE_BYTES = 1024 * 1024;
+
+	private final EngineCall engineCall;
 
 	private final String engineId;
 
@@ -30,43 +39,100 @@
 
 	private final BufferedSource source;
 
-	ServerSentEventStream(String engineId, Call call, Response response) {
+	private final EventMatcher matcher;
+
+	private final Cancellation.Registration cancellation;
+
+	private final AtomicLong crossed;
+
+	private final int tokenIdleMillis;
+
+	private final Runnable onSilence;
+
+	private int boundMillis;
+
+	ServerSentEventStream(String engineId, EngineCall engineCall, Call call, Response response,
+			int firstTokenIdleMillis, int tokenIdleMillis, AtomicLong crossed, Runnable onSilence) {
 		this.engineId = engineId;
+		this.engineCall = engineCall;
 		this.call = call;
 		this.response = response;
 		this.source = response.body().source();
+		this.matcher = new EventMatcher(engineCall.requestId());
+		this.crossed = crossed;
+		this.boundMillis = firstTokenIdleMillis;
+		this.tokenIdleMillis = tokenIdleMillis;
+		this.onSilence = onSilence;
+		this.cancellation = engineCall.cancellation().onCancel(call::cancel);
 	}
 
 	@Override
 	public @Nullable DecodeEvent next() {
 		try {
-			return readEvent();
+			this.source.timeout().deadline(this.boundMillis, TimeUnit.MILLISECONDS);
+			DecodeEvent event = readEvent();
+			if (event != null && event.tokenOffset() > 0) {
+				this.boundMillis = this.tokenIdleMillis;
+			}
+			return event;
 		}
 		catch (IOException ex) {
-			throw EngineFailures.translate(this.engineId, ex);
+			this.engineCall.cancellation().check(Verdict.MAY_HAVE_RUN);
+			RouterException failure = HttpEngineClient.sentFailure(this.engineId, this.boundMillis, ex);
+			if (failure.type() == ErrorType.BACKEND_TIMEOUT) {
+				this.onSilence.run();
+			}
+			throw failure;
 		}
 	}
 
 	private @Nullable DecodeEvent readEvent() throws IOException {
 		int offset = 0;
 		while (true) {
-			String line = this.source.readUtf8Line();
-			if (line == null) {
-				throw RouterException.of(ErrorType.BACKEND_FAILED, Verdict.MAY_HAVE_RUN, null, this.engineId,
-						"the stream ended without its end marker");
-			}
+			String line = readLine();
 			if (line.startsWith(ID)) {
-				offset = Integer.parseInt(line.substring(ID.length()).trim());
+				offset = parseOffset(line.substring(ID.length()).trim());
 			}
 			else if (line.startsWith(DATA)) {
-				String data = line.substring(DATA.length());
-				return END_MARKER.equals(data) ? null : new DecodeEvent(offset, data);
+				String data = line.substring(DATA.length()).trim();
+				if (END_MARKER.equals(data)) {
+					return null;
+				}
+				if (EventMatcher.isError(data)) {
+					throw fault("it sent an error event");
+				}
+				if (this.matcher.matches(data)) {
+					return new DecodeEvent(offset, this.matcher.publicData(data));
+				}
+				this.crossed.incrementAndGet();
+				offset = 0;
 			}
 		}
 	}
 
+	private String readLine() throws IOException {
+		if (!this.source.request(1)) {
+			throw new java.io.EOFException("the stream ended without its end marker");
+		}
+		return this.source.readUtf8LineStrict(MAX_LINE_BYTES);
+	}
+
+	private int parseOffset(String text) {
+		try {
+			return Integer.parseInt(text);
+		}
+		catch (NumberFormatException ex) {
+			throw fault("the event id %s is not a token offset".formatted(text));
+		}
+	}
+
+	private RouterException fault(String what) {
+		return RouterException.of(ErrorType.BACKEND_FAILED, Verdict.MAY_HAVE_RUN, null, this.engineId, what);
+	}
+
 	@Override
 	public void close() {
+		this.cancellation.close();
 		this.call.cancel();
 		this.response.close();
 	}
--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/engine/SingleSend.java
@@ -0,0 +1,28 @@
+package org.skylarkstack.engine;
+
+import java.io.IOException;
+
+import okhttp3.Interceptor;
+import okhttp3.Response;
+
+/**
+ * Keeps OkHttp from sending a request again by itself: it repeats a request that was
+ * answered with 503 and {@code Retry-After: 0} even when its retries are off.
+ */
+final class SingleSend implements Interceptor {
+
+	static final String BACKEND_RETRY_AFTER = "X-Skylark-Backend-Retry-After";
+
+	private static final String RETRY_AFTER = "Retry-After";
+
+	@Override
+	public Response intercept(Chain chain) throws IOException {
+		Response response = chain.proceed(chain.request());
+		String retryAfter = response.header(RETRY_AFTER);
+		if (retryAfter == null) {
+			return response;
+		}
+		return response.newBuilder().removeHeader(RETRY_AFTER).header(BACKEND_RETRY_AFTER, retryAfter).build();
+	}
+
+}
--- a/runtime/src/main/java/org/skylarkstack/http/AnswerAssembler.java
+++ b/runtime/src/main/java/org/skylarkstack/http/AnswerAssembler.java
@@ -1,8 +1,13 @@
 package org.skylarkstack.http;
 
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.skylarkstack.kernel.ErrorType;
 import org.skylarkstack.kernel.RouterException;
@@ -10,18 +15,32 @@
 
 /**
  * Assembles a whole answer from the events of a stream.
+ *
+ * <p>
+ * The rules hold for every field, so that fields that this code does not know pass on
+ * too. Within a choice, texts are joined, objects are merged, items of an array that
+ * carry an {@code index} are merged with the item of the same index, and other items are
+ * appended. Texts that name something (role, id, type, name) and all other values replace
+ * the former value. Outside the choices the last value that is not null stays.
  */
 final class AnswerAssembler implements AnswerSink {
 
+	private static final String CHOICES = "choices";
+
+	private static final String INDEX = "index";
+
+	private static final String DELTA = "delta";
+
+	private static final Set<String> REPLACED_TEXTS = Set.of("role", "id", "type", "name", "finish_reason",
+			"stop_reason");
+
 	private final ObjectMapper mapper;
 
 	private final boolean chat;
 
-	private final StringBuilder text = new StringBuilder();
-
 	private final ObjectNode answer;
 
-	private String finishReason = "";
+	private final Map<Integer, ObjectNode> choices = new TreeMap<>();
 
 	AnswerAssembler(ObjectMapper mapper, String path) {
 		this.mapper = mapper;
@@ -32,15 +51,16 @@
 	@Override
 	public void event(String data) {
 		JsonNode chunk = parse(data);
-		for (String field : new String[] { "id", "created", "model", "usage" }) {
-			if (chunk.hasNonNull(field)) {
-				this.answer.set(field, chunk.get(field));
+		chunk.properties().forEach((field) -> {
+			if (!field.getKey().equals(CHOICES) && !field.getValue().isNull()) {
+				this.answer.set(field.getKey(), field.getValue());
+			}
+		});
+		for (JsonNode choice : chunk.path(CHOICES)) {
+			if (choice instanceof ObjectNode object) {
+				merge(this.choices.computeIfAbsent(object.path(INDEX).asInt(0),
+						(index) -> this.mapper.createObjectNode()), object);
 			}
-		}
-		JsonNode choice = chunk.path("choices").path(0);
-		this.text.append(choice.path("delta").path("content").asText(choice.path("text").asText("")));
-		if (choice.hasNonNull("finish_reason")) {
-			this.finishReason = choice.path("finish_reason").asText();
 		}
 	}
 
@@ -53,17 +73,75 @@
 		}
 	}
 
+	private void merge(ObjectNode target, ObjectNode source) {
+		source.properties().forEach((field) -> {
+			String name = field.getKey();
+			JsonNode value = field.getValue();
+			JsonNode former = target.get(name);
+			if (former == null || former.isNull()) {
+				if (value instanceof ArrayNode items) {
+					append(target.putArray(name), items);
+				}
+				else {
+					target.set(name, value.deepCopy());
+				}
+			}
+			else if (value instanceof ObjectNode object && former instanceof ObjectNode into) {
+				merge(into, object);
+			}
+			else if (value instanceof ArrayNode items && former instanceof ArrayNode into) {
+				append(into, items);
+			}
+			else if (value.isTextual() && former.isTextual() && !REPLACED_TEXTS.contains(name)) {
+				target.put(name, former.asText() + value.asText());
+			}
+			else if (!value.isNull()) {
+				target.set(name, value);
+			}
+		});
+	}
+
+	private void append(ArrayNode target, ArrayNode items) {
+		for (JsonNode item : items) {
+			ObjectNode same = item.has(INDEX) ? find(target, item.path(INDEX).asInt()) : null;
+			if (same != null && item instanceof ObjectNode object) {
+				merge(same, object);
+			}
+			else {
+				target.add(item.deepCopy());
+			}
+		}
+	}
+
+	private static @org.jspecify.annotations.Nullable ObjectNode find(ArrayNode items, int index) {
+		for (JsonNode item : items) {
+			if (item.path(INDEX).asInt(-1) == index && item instanceof ObjectNode object) {
+				return object;
+			}
+		}
+		return null;
+	}
+
 	ObjectNode answer() {
 		this.answer.put("object", this.chat ? "chat.completion" : "text_completion");
-		ObjectNode choice = this.answer.putArray("choices").addObject().put("index", 0);
-		if (this.chat) {
-			choice.putObject("message").put("role", "assistant").put("content", this.text.toString());
+		ArrayNode list = this.answer.putArray(CHOICES);
+		this.choices.forEach((index, choice) -> list.add(this.chat ? chatChoice(index, choice) : choice));
+		return this.answer;
+	}
+
+	private ObjectNode chatChoice(int index, ObjectNode choice) {
+		ObjectNode message = this.mapper.createObjectNode().put("role", "assistant").putNull("content");
+		if (choice.remove(DELTA) instanceof ObjectNode delta) {
+			message.setAll(delta);
 		}
-		else {
-			choice.put("text", this.text.toString());
+		for (JsonNode call : message.path("tool_calls")) {
+			((ObjectNode) call).remove(INDEX);
 		}
-		choice.put("finish_reason", this.finishReason);
-		return this.answer;
+		ObjectNode whole = this.mapper.createObjectNode().put(INDEX, index);
+		whole.set("message", message);
+		choice.remove(INDEX);
+		whole.setAll(choice);
+		return whole;
 	}
 
 }
--- a/runtime/src/main/java/org/skylarkstack/http/Authenticator.java
+++ b/runtime/src/main/java/org/skylarkstack/http/Authenticator.java
@@ -31,10 +31,21 @@
 	 * @throws RouterException with {@link ErrorType#UNAUTHENTICATED} if there is no key
 	 */
 	public String keyHash(@Nullable String authorization) {
-		if (authorization == null || !authorization.startsWith(BEARER)) {
+		String key = key(authorization);
+		if (key.isEmpty()) {
 			throw new RouterException(ErrorType.UNAUTHENTICATED);
 		}
-		return Hashes.sha256(authorization.substring(BEARER.length()).trim());
+		return Hashes.sha256(key);
+	}
+
+	/**
+	 * Returns the caller's key, to keep it away from backend servers.
+	 * @param authorization the Authorization header, if any
+	 * @return the key, or an empty string if there is none
+	 */
+	static String key(@Nullable String authorization) {
+		boolean bearer = authorization != null && authorization.regionMatches(true, 0, BEARER, 0, BEARER.length());
+		return (bearer && authorization != null) ? authorization.substring(BEARER.length()).trim() : "";
 	}
 
 	/**
--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/http/BodyReader.java
@@ -0,0 +1,71 @@
+package org.skylarkstack.http;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+
+import org.skylarkstack.kernel.ErrorType;
+import org.skylarkstack.kernel.RouterException;
+import org.skylarkstack.misc.TimeSource;
+import org.skylarkstack.settings.CallerLimits;
+
+/**
+ * Reads request bodies within the bounds of size and time. The time bound counts from the
+ * first byte; a single read waits at most the connector's idle bound, which is the same.
+ */
+final class BodyReader {
+
+	private static final int BUFFER_BYTES = 16 * 1024;
+
+	private static final long NANOS_PER_MILLI = 1_000_000;
+
+	private final CallerLimits limits;
+
+	private final TimeSource time;
+
+	BodyReader(CallerLimits limits, TimeSource time) {
+		this.limits = limits;
+		this.time = time;
+	}
+
+	byte[] read(InputStream input, long contentLength) {
+		if (contentLength > this.limits.maxBodyBytes()) {
+			throw new RouterException(ErrorType.BODY_TOO_LARGE, this.limits.maxBodyBytes());
+		}
+		long started = this.time.nanos();
+		ByteArrayOutputStream body = new ByteArrayOutputStream((int) Math.max(0, contentLength));
+		byte[] buffer = new byte[BUFFER_BYTES];
+		try {
+			for (int length = input.read(buffer); length >= 0; length = input.read(buffer)) {
+				body.write(buffer, 0, length);
+				if (body.size() > this.limits.maxBodyBytes()) {
+					throw new RouterException(ErrorType.BODY_TOO_LARGE, this.limits.maxBodyBytes());
+				}
+				if (this.time.nanos() - started > this.limits.bodyTimeoutMillis() * NANOS_PER_MILLI) {
+					throw slow();
+				}
+			}
+			return body.toByteArray();
+		}
+		catch (IOException ex) {
+			if (isTimeout(ex)) {
+				throw slow();
+			}
+			throw new RouterException(ErrorType.BAD_REQUEST, "the body ended early");
+		}
+	}
+
+	private static boolean isTimeout(Throwable failure) {
+		for (Throwable cause = failure; cause != null; cause = cause.getCause()) {
+			if (cause instanceof java.util.concurrent.TimeoutException) {
+				return true;
+			}
+		}
+		return false;
+	}
+
+	private RouterException slow() {
+		return new RouterException(ErrorType.SLOW_SENDER, this.limits.bodyTimeoutMillis());
+	}
+
+}
--- a/runtime/src/main/java/org/skylarkstack/http/CallerApi.java
+++ b/runtime/src/main/java/org/skylarkstack/http/CallerApi.java
@@ -1,6 +1,8 @@
 package org.skylarkstack.http;
 
 import java.io.IOException;
+import java.util.List;
+import java.util.function.BooleanSupplier;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -9,18 +11,39 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.javalin.config.JavalinConfig;
 import io.javalin.http.Context;
+import io.javalin.http.Handler;
+import io.javalin.http.HandlerType;
+import org.jspecify.annotations.Nullable;
 import org.skylarkstack.configuration.ConfigurationHolder;
 import org.skylarkstack.configuration.Team;
+import org.skylarkstack.kernel.Cancellation;
 import org.skylarkstack.kernel.ErrorType;
 import org.skylarkstack.kernel.RouterException;
+import org.skylarkstack.kernel.Verdict;
+import org.skylarkstack.misc.TimeSource;
+import org.skylarkstack.request.CallerGoneException;
+import org.skylarkstack.request.ClaimedRun;
 import org.skylarkstack.request.CompletionRequest;
+import org.skylarkstack.request.OpenRequest;
+import org.skylarkstack.request.OpenRequests;
 import org.skylarkstack.request.RequestPipeline;
+import org.skylarkstack.request.StoredAnswer;
+import org.skylarkstack.settings.CallerLimits;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
- * OpenAI-compatible API for callers.
+ * API for callers: the OpenAI-compatible completions and the routes to plain services.
  */
 public final class CallerApi {
 
+	private static final Logger LOG = LoggerFactory.getLogger(CallerApi.class);
+
+	private static final String JSON = "application/json";
+
+	private static final List<HandlerType> SERVICE_METHODS = List.of(HandlerType.GET, HandlerType.HEAD,
+			HandlerType.POST, HandlerType.PUT, HandlerType.PATCH, HandlerType.DELETE, HandlerType.OPTIONS);
+
 	private final ObjectMapper mapper = new ObjectMapper();
 
 	private final ConfigurationHolder configuration;
@@ -29,33 +52,83 @@
 
 	private final RequestPipeline pipeline;
 
+	private final ServiceApi services;
+
+	private final OpenRequests openRequests;
+
+	private final CallerWatch watch;
+
+	private final ClaimGate claims;
+
+	private final CallerLimits limits;
+
+	private final BodyReader bodies;
+
+	private final BooleanSupplier ready;
+
 	/**
 	 * Creates the API.
 	 * @param configuration the configuration in force
 	 * @param authenticator finds teams from keys
-	 * @param pipeline runs requests
+	 * @param pipeline runs completion requests
+	 * @param services serves the routes to plain services
+	 * @param openRequests the open requests
+	 * @param watch notices callers that are gone
+	 * @param claims claims keyed non-idempotent requests
+	 * @param limits the bounds on callers
+	 * @param time the time source
+	 * @param ready whether the balancer may send requests here
 	 */
-	public CallerApi(ConfigurationHolder configuration, Authenticator authenticator, RequestPipeline pipeline) {
+	public CallerApi(ConfigurationHolder configuration, Authenticator authenticator, RequestPipeline pipeline,
+			ServiceApi services, OpenRequests openRequests, CallerWatch watch, ClaimGate claims, CallerLimits limits,
+			TimeSource time, BooleanSupplier ready) {
 		this.configuration = configuration;
 		this.authenticator = authenticator;
 		this.pipeline = pipeline;
+		this.services = services;
+		this.openRequests = openRequests;
+		this.watch = watch;
+		this.claims = claims;
+		this.limits = limits;
+		this.bodies = new BodyReader(limits, time);
+		this.ready = ready;
 	}
 
 	/**
-	 * Adds the routes to a server.
+	 * Sets up a server: its bounds and its routes.
 	 * @param config the server's configuration
 	 */
 	public void register(JavalinConfig config) {
-		config.routes.post("/v1/chat/completions", this::complete);
-		config.routes.post("/v1/completions", this::complete);
-		config.routes.get("/v1/models", this::models);
+		CallerServer.apply(config, this.limits);
 		config.routes.get("/livez", (context) -> context.result("ok"));
 		config.routes.get("/readyz", this::ready);
+		config.routes.get("/v1/models", this::models);
+		config.routes.post("/v1/chat/completions", bounded(this::complete));
+		config.routes.post("/v1/completions", bounded(this::complete));
+		SERVICE_METHODS.forEach((method) -> config.routes.addHttpHandler(method, "/*", bounded(this.services::serve)));
 		config.routes.exception(RouterException.class, (failure, context) -> ErrorAnswer.write(context, failure));
+		config.routes.exception(Exception.class, CallerApi::internal);
+	}
+
+	private Handler bounded(Handler handler) {
+		return (context) -> {
+			try (OpenRequests.Slot slot = this.openRequests.enter()) {
+				handler.handle(context);
+			}
+		};
+	}
+
+	private static void internal(Exception failure, Context context) {
+		LOG.atError().addKeyValue("event", "request_failed").setCause(failure).log();
+		if (context.res().isCommitted()) {
+			new JettyConnection(context).abort();
+			return;
+		}
+		ErrorAnswer.write(context, new RouterException(ErrorType.INTERNAL));
 	}
 
 	private void ready(Context context) {
-		if (this.configuration.current().appliedNumber() == 0) {
+		if (this.configuration.current().appliedNumber() == 0 || !this.ready.getAsBoolean()) {
 			throw new RouterException(ErrorType.NOT_READY);
 		}
 		context.result("ok");
@@ -72,33 +145,68 @@
 				.put("object", "model")
 				.put("created", 0)
 				.put("owned_by", "skylarkstack"));
-		context.contentType("application/json").result(answer.toString());
+		context.header(ErrorAnswer.VERDICT, Verdict.RAN.headerValue());
+		context.contentType(JSON).result(answer.toString());
 	}
 
 	private void complete(Context context) throws IOException {
-		Team team = this.authenticator.team(this.authenticator.keyHash(context.header("Authorization")));
-		CompletionRequest request = CompletionRequest.parse(context.path(), readBody(context));
+		String keyHash = this.authenticator.keyHash(context.header("Authorization"));
+		Team team = this.authenticator.team(keyHash);
+		boolean idempotent = !ClaimGate.marksNonIdempotent(context);
+		byte[] body = this.bodies.read(context.req().getInputStream(), context.req().getContentLengthLong());
+		CompletionRequest request = CompletionRequest.parse(context.path(), parse(body), idempotent);
 		if (this.configuration.current().engines(request.model()).isEmpty()) {
 			throw new RouterException(ErrorType.UNKNOWN_MODEL, request.model());
 		}
-		if (request.stream()) {
-			stream(context, team, request);
+		JettyConnection connection = new JettyConnection(context);
+		OpenRequest open = new OpenRequest(keyHash, team.id(), request.fingerprint(team.id()), new Cancellation());
+		try (CallerExchange exchange = new CallerExchange(this.openRequests, this.watch, connection, open)) {
+			exchange.checkBeforeStart();
+			ClaimGate.Pass pass = this.claims.enter(context, team.id(), idempotent, body);
+			if (!pass.answered()) {
+				run(context, connection, new Work(team, request, exchange.cancellation(), pass.run()));
+			}
+		}
+	}
+
+	private void run(Context context, JettyConnection connection, Work work) {
+		try {
+			if (work.request.stream()) {
+				stream(context, work);
+			}
+			else {
+				whole(context, work);
+			}
+		}
+		catch (CallerGoneException ex) {
+			connection.abort();
 		}
-		else {
-			AnswerAssembler assembler = new AnswerAssembler(this.mapper, request.path());
-			this.pipeline.run(team, request, assembler);
-			context.header(ErrorAnswer.VERDICT, "ran");
-			context.contentType("application/json").result(assembler.answer().toString());
+	}
+
+	private void whole(Context context, Work work) {
+		AnswerAssembler assembler = new AnswerAssembler(this.mapper, work.request.path());
+		try {
+			this.pipeline.run(work.team, work.request, work.cancellation, assembler);
 		}
+		catch (RouterException ex) {
+			work.failed(ex);
+			throw ex;
+		}
+		byte[] answer = assembler.answer().toString().getBytes(java.nio.charset.StandardCharsets.UTF_8);
+		work.ran((answer.length <= StoredAnswer.MAX_BODY_BYTES) ? new StoredAnswer(200, JSON, answer) : null);
+		context.header(ErrorAnswer.VERDICT, Verdict.RAN.headerValue());
+		context.contentType(JSON).result(answer);
 	}
 
-	private void stream(Context context, Team team, CompletionRequest request) throws IOException {
-		EventStreamWriter writer = new EventStreamWriter(context);
+	private void stream(Context context, Work work) {
+		EventStreamWriter writer = new EventStreamWriter(context, work.claimed != null);
 		try {
-			this.pipeline.run(team, request, writer);
+			this.pipeline.run(work.team, work.request, work.cancellation, writer);
+			work.ran(writer.wholeAnswer());
 			writer.finish();
 		}
 		catch (RouterException ex) {
+			work.failed(ex);
 			if (!writer.started()) {
 				throw ex;
 			}
@@ -106,9 +214,9 @@
 		}
 	}
 
-	private JsonNode readBody(Context context) {
+	private JsonNode parse(byte[] body) {
 		try {
-			return this.mapper.readTree(context.bodyAsBytes());
+			return this.mapper.readTree(body);
 		}
 		catch (JsonProcessingException ex) {
 			throw new RouterException(ErrorType.BAD_REQUEST, "the body is not valid JSON");
@@ -118,4 +226,28 @@
 		}
 	}
 
+	/**
+	 * Completion request that is ready to run.
+	 *
+	 * @param team the team
+	 * @param request the request
+	 * @param cancellation ends the request early
+	 * @param claimed records the outcome, or {@code null}
+	 */
+	private record Work(Team team, CompletionRequest request, Cancellation cancellation, @Nullable ClaimedRun claimed) {
+
+		void ran(@Nullable StoredAnswer answer) {
+			if (this.claimed != null) {
+				this.claimed.ran(answer);
+			}
+		}
+
+		void failed(RouterException failure) {
+			if (this.claimed != null) {
+				this.claimed.failed(failure);
+			}
+		}
+
+	}
+
 }
--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/http/CallerExchange.java
@@ -0,0 +1,42 @@
+package org.skylarkstack.http;
+
+import org.skylarkstack.kernel.Cancellation;
+import org.skylarkstack.request.OpenRequest;
+import org.skylarkstack.request.OpenRequests;
+
+/**
+ * Request of a caller while it is open: registered, watched, and released once.
+ */
+final class CallerExchange implements AutoCloseable {
+
+	private final Cancellation cancellation;
+
+	private final JettyConnection connection;
+
+	private final CallerWatch.Watched watched;
+
+	private final OpenRequests.Entry entry;
+
+	CallerExchange(OpenRequests openRequests, CallerWatch watch, JettyConnection connection, OpenRequest request) {
+		this.cancellation = request.cancellation();
+		this.connection = connection;
+		this.entry = openRequests.add(request);
+		this.watched = watch.watch(connection, this.cancellation);
+	}
+
+	Cancellation cancellation() {
+		return this.cancellation;
+	}
+
+	void checkBeforeStart() {
+		this.entry.check();
+	}
+
+	@Override
+	public void close() {
+		this.watched.close();
+		this.connection.close();
+		this.entry.close();
+	}
+
+}
--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/http/CallerWatch.java
@@ -0,0 +1,63 @@
+package org.skylarkstack.http;
+
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+import org.skylarkstack.kernel.CancelReason;
+import org.skylarkstack.kernel.Cancellation;
+
+/**
+ * Notices callers that are gone while nothing is written to them, and ends their
+ * requests.
+ */
+public final class CallerWatch {
+
+	/**
+	 * Time between two checks in milliseconds. A check is one system call for each open
+	 * request.
+	 */
+	public static final long PERIOD_MILLIS = 250;
+
+	private final Set<Watched> watched = ConcurrentHashMap.newKeySet();
+
+	/** Checks all watched callers once. To be called periodically. */
+	public void check() {
+		for (Watched entry : this.watched) {
+			if (entry.connection.gone()) {
+				entry.cancellation.cancel(CancelReason.CALLER_GONE);
+			}
+		}
+	}
+
+	Watched watch(CallerConnection connection, Cancellation cancellation) {
+		Watched entry = new Watched(connection, cancellation);
+		this.watched.add(entry);
+		return entry;
+	}
+
+	int size() {
+		return this.watched.size();
+	}
+
+	/**
+	 * Watched caller.
+	 */
+	final class Watched implements AutoCloseable {
+
+		private final CallerConnection connection;
+
+		private final Cancellation cancellation;
+
+		private Watched(CallerConnection connection, Cancellation cancellation) {
+			this.connection = connection;
+			this.cancellation = cancellation;
+		}
+
+		@Override
+		public void close() {
+			CallerWatch.this.watched.remove(this);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/http/ClaimGate.java
@@ -0,0 +1,93 @@
+package org.skylarkstack.http;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+
+import io.javalin.http.Context;
+import org.jspecify.annotations.Nullable;
+import org.skylarkstack.kernel.Verdict;
+import org.skylarkstack.misc.Hashes;
+import org.skylarkstack.request.Claim;
+import org.skylarkstack.request.ClaimedRun;
+import org.skylarkstack.request.IdempotencyClaims;
+import org.skylarkstack.request.RequestIds;
+import org.skylarkstack.request.StoredAnswer;
+
+/**
+ * Claims keyed non-idempotent requests before they are sent, and answers re-sends.
+ */
+public final class ClaimGate {
+
+	static final String IDEMPOTENCY_KEY = "Idempotency-Key";
+
+	static final String NON_IDEMPOTENT = "X-Skylark-Non-Idempotent";
+
+	private static final int SERVER_ERROR = 500;
+
+	private final IdempotencyClaims claims;
+
+	private final RequestIds ids;
+
+	/**
+	 * Creates a gate.
+	 * @param claims stores the claims
+	 * @param ids makes the ids of attempts
+	 */
+	public ClaimGate(IdempotencyClaims claims, RequestIds ids) {
+		this.claims = claims;
+		this.ids = ids;
+	}
+
+	static boolean marksNonIdempotent(Context context) {
+		return "true".equalsIgnoreCase(context.header(NON_IDEMPOTENT));
+	}
+
+	/**
+	 * Claims a request.
+	 * @param context the exchange with the caller; holds the answer if it is a re-send
+	 * @param teamId the team
+	 * @param idempotent whether the request may run more than once
+	 * @param body the body
+	 * @return the pass for the request
+	 */
+	Pass enter(Context context, String teamId, boolean idempotent, byte[] body) {
+		String key = context.header(IDEMPOTENCY_KEY);
+		if (idempotent || key == null) {
+			return new Pass(null, false);
+		}
+		String target = context.method() + " " + context.req().getRequestURI() + "?" + context.queryString();
+		String hash = Hashes.sha256(Hashes.sha256(target.getBytes(StandardCharsets.UTF_8)) + Hashes.sha256(body));
+		Claim claim = Claim.of(teamId, key, hash, this.ids.next());
+		Optional<StoredAnswer> stored = this.claims.claim(claim);
+		if (stored.isPresent()) {
+			replay(context, stored.get());
+			return new Pass(null, true);
+		}
+		return new Pass(new ClaimedRun(this.claims, claim), false);
+	}
+
+	private static void replay(Context context, StoredAnswer answer) {
+		context.status(answer.status()).header(ErrorAnswer.VERDICT, verdict(answer.status()).headerValue());
+		if (!answer.contentType().isEmpty()) {
+			context.contentType(answer.contentType());
+		}
+		context.result(answer.body());
+	}
+
+	// Returns what a plain service's status says: an error of the server itself leaves
+	// open whether the request took effect.
+	static Verdict verdict(int status) {
+		return (status < SERVER_ERROR) ? Verdict.RAN : Verdict.MAY_HAVE_RUN;
+	}
+
+	/**
+	 * Result of a claim.
+	 *
+	 * @param run records the outcome, or {@code null} if the request is not claimed
+	 * @param answered whether the caller has got the stored answer
+	 */
+	record Pass(@Nullable ClaimedRun run, boolean answered) {
+
+	}
+
+}
--- a/runtime/src/main/java/org/skylarkstack/http/ErrorAnswer.java
+++ b/runtime/src/main/java/org/skylarkstack/http/ErrorAnswer.java
@@ -1,8 +1,11 @@
 package org.skylarkstack.http;
 
+import java.time.Duration;
+
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.javalin.http.Context;
+import org.jspecify.annotations.Nullable;
 import org.skylarkstack.kernel.RouterException;
 
 /**
@@ -32,7 +35,7 @@
 	static void write(Context context, RouterException failure) {
 		context.status(failure.type().httpStatus());
 		context.header(VERDICT, failure.verdict().headerValue());
-		java.time.Duration retryAfter = failure.retryAfter();
+		Duration retryAfter = retryAfter(failure);
 		if (retryAfter != null) {
 			long seconds = (retryAfter.toMillis() + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND;
 			context.header("Retry-After", Long.toString(Math.max(1, seconds)));
@@ -40,4 +43,17 @@
 		context.contentType("application/json").result(json(failure).toString());
 	}
 
+	// The time to wait, where waiting helps: the cause of these errors passes.
+	private static @Nullable Duration retryAfter(RouterException failure) {
+		if (failure.retryAfter() != null) {
+			return failure.retryAfter();
+		}
+		return switch (failure.type()) {
+			case TOO_MANY_REQUESTS, DEADLINE_UNREACHABLE, QUEUE_FULL, NO_ENGINE, NOT_READY, CLAIM_UNAVAILABLE,
+					CLAIM_IN_PROGRESS, STALE_KEY_STATE, BACKEND_UNREACHABLE ->
+				Duration.ofSeconds(1);
+			default -> null;
+		};
+	}
+
 }
--- a/runtime/src/main/java/org/skylarkstack/http/EventStreamWriter.java
+++ b/runtime/src/main/java/org/skylarkstack/http/EventStreamWriter.java
@@ -1,13 +1,17 @@
 package org.skylarkstack.http;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 
 import io.javalin.http.Context;
+import org.jspecify.annotations.Nullable;
 import org.skylarkstack.kernel.RouterException;
+import org.skylarkstack.kernel.Verdict;
 import org.skylarkstack.request.AnswerSink;
 import org.skylarkstack.request.CallerGoneException;
+import org.skylarkstack.request.StoredAnswer;
 
 /**
  * Writes an answer as server-sent events. The headers are sent with the first event, so a
@@ -15,18 +19,30 @@
  */
 final class EventStreamWriter implements AnswerSink {
 
+	static final String CONTENT_TYPE = "text/event-stream";
+
 	private static final byte[] DATA = "data: ".getBytes(StandardCharsets.UTF_8);
 
 	private static final byte[] END_OF_EVENT = "\n\n".getBytes(StandardCharsets.UTF_8);
 
 	private static final String END_MARKER = "[DONE]";
 
+	private static final int OK = 200;
+
 	private final Context context;
 
+	private @Nullable ByteArrayOutputStream kept;
+
 	private boolean started;
 
-	EventStreamWriter(Context context) {
+	/**
+	 * Creates a writer.
+	 * @param context the exchange with the caller
+	 * @param keep whether the answer is kept for re-sends
+	 */
+	EventStreamWriter(Context context, boolean keep) {
 		this.context = context;
+		this.kept = keep ? new ByteArrayOutputStream() : null;
 	}
 
 	boolean started() {
@@ -35,14 +51,19 @@
 
 	@Override
 	public void event(String data) {
+		byte[] bytes = data.getBytes(StandardCharsets.UTF_8);
+		keep(bytes);
 		try {
 			if (!this.started) {
 				this.started = true;
-				this.context.status(200).contentType("text/event-stream").header("Cache-Control", "no-cache");
+				this.context.status(OK)
+					.contentType(CONTENT_TYPE)
+					.header("Cache-Control", "no-cache")
+					.header(ErrorAnswer.VERDICT, Verdict.RAN.headerValue());
 			}
 			OutputStream output = this.context.outputStream();
 			output.write(DATA);
-			output.write(data.getBytes(StandardCharsets.UTF_8));
+			output.write(bytes);
 			output.write(END_OF_EVENT);
 			output.flush();
 		}
@@ -51,10 +72,41 @@
 		}
 	}
 
+	private void keep(byte[] bytes) {
+		ByteArrayOutputStream buffer = this.kept;
+		if (buffer == null) {
+			return;
+		}
+		if (buffer.size() + bytes.length + DATA.length + END_OF_EVENT.length > StoredAnswer.MAX_BODY_BYTES) {
+			this.kept = null;
+			return;
+		}
+		buffer.writeBytes(DATA);
+		buffer.writeBytes(bytes);
+		buffer.writeBytes(END_OF_EVENT);
+	}
+
 	void finish() {
 		event(END_MARKER);
 	}
 
+	/**
+	 * Returns the whole stream for re-sends.
+	 * @return the stream including its end marker, or {@code null} if it is too large
+	 */
+	@Nullable StoredAnswer wholeAnswer() {
+		ByteArrayOutputStream buffer = this.kept;
+		if (buffer == null) {
+			return null;
+		}
+		ByteArrayOutputStream whole = new ByteArrayOutputStream();
+		whole.writeBytes(buffer.toByteArray());
+		whole.writeBytes(DATA);
+		whole.writeBytes(END_MARKER.getBytes(StandardCharsets.UTF_8));
+		whole.writeBytes(END_OF_EVENT);
+		return new StoredAnswer(OK, CONTENT_TYPE, whole.toByteArray());
+	}
+
 	/**
 	 * Ends the stream with an error event and without the end marker.
 	 * @param failure the error
--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/http/ServiceApi.java
@@ -0,0 +1,161 @@
+package org.skylarkstack.http;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+
+import io.javalin.http.Context;
+import org.jspecify.annotations.Nullable;
+import org.skylarkstack.configuration.ConfigurationHolder;
+import org.skylarkstack.configuration.Route;
+import org.skylarkstack.kernel.Cancellation;
+import org.skylarkstack.kernel.ErrorType;
+import org.skylarkstack.kernel.RouterException;
+import org.skylarkstack.misc.TimeSource;
+import org.skylarkstack.request.CallerGoneException;
+import org.skylarkstack.request.ClaimedRun;
+import org.skylarkstack.request.Header;
+import org.skylarkstack.request.HeaderFilter;
+import org.skylarkstack.request.OpenRequest;
+import org.skylarkstack.request.OpenRequests;
+import org.skylarkstack.request.ServiceAnswer;
+import org.skylarkstack.request.ServiceProxy;
+import org.skylarkstack.request.ServiceRequest;
+import org.skylarkstack.settings.CallerLimits;
+
+/**
+ * Serves the configured routes to plain services.
+ */
+public final class ServiceApi {
+
+	private final ConfigurationHolder configuration;
+
+	private final Authenticator authenticator;
+
+	private final OpenRequests openRequests;
+
+	private final CallerWatch watch;
+
+	private final ClaimGate claims;
+
+	private final ServiceProxy proxy;
+
+	private final BodyReader bodies;
+
+	/**
+	 * Creates the API.
+	 * @param configuration names the routes
+	 * @param authenticator finds teams from keys
+	 * @param openRequests the open requests
+	 * @param watch notices callers that are gone
+	 * @param claims claims keyed non-idempotent requests
+	 * @param proxy runs requests
+	 * @param limits the bounds on callers
+	 * @param time the time source
+	 */
+	public ServiceApi(ConfigurationHolder configuration, Authenticator authenticator, OpenRequests openRequests,
+			CallerWatch watch, ClaimGate claims, ServiceProxy proxy, CallerLimits limits, TimeSource time) {
+		this.configuration = configuration;
+		this.authenticator = authenticator;
+		this.openRequests = openRequests;
+		this.watch = watch;
+		this.claims = claims;
+		this.proxy = proxy;
+		this.bodies = new BodyReader(limits, time);
+	}
+
+	void serve(Context context) throws IOException {
+		String path = context.req().getRequestURI();
+		String method = context.req().getMethod();
+		Route route = this.configuration.current()
+			.route(method, path)
+			.orElseThrow(() -> new RouterException(ErrorType.NO_ROUTE, method, path));
+		String authorization = context.header("Authorization");
+		String keyHash = route.open() ? "" : this.authenticator.keyHash(authorization);
+		String teamId = route.open() ? "" : this.authenticator.team(keyHash).id();
+		String key = Authenticator.key(authorization);
+		String query = context.queryString();
+		if (!key.isEmpty() && query != null && query.contains(key)) {
+			throw new RouterException(ErrorType.BAD_REQUEST, "the API key must not be part of the query");
+		}
+		byte[] body = this.bodies.read(context.req().getInputStream(), context.req().getContentLengthLong());
+		JettyConnection connection = new JettyConnection(context);
+		OpenRequest open = new OpenRequest(keyHash, teamId, "", new Cancellation());
+		try (CallerExchange exchange = new CallerExchange(this.openRequests, this.watch, connection, open)) {
+			exchange.checkBeforeStart();
+			boolean idempotent = !route.nonIdempotent() && !ClaimGate.marksNonIdempotent(context);
+			ClaimGate.Pass pass = this.claims.enter(context, route.open() ? "open/" + route.id() : teamId, idempotent,
+					body);
+			if (!pass.answered()) {
+				String target = (query != null) ? path + "?" + query : path;
+				run(context, connection, pass.run(), new ServiceRequest(route, method, target,
+						HeaderFilter.towardsService(headers(context), key), body, idempotent, exchange.cancellation()));
+			}
+		}
+	}
+
+	private void run(Context context, JettyConnection connection, @Nullable ClaimedRun claimed,
+			ServiceRequest request) {
+		ContextAnswer answer = new ContextAnswer(context);
+		try {
+			this.proxy.run(request, claimed, answer);
+		}
+		catch (CallerGoneException ex) {
+			connection.abort();
+		}
+		catch (RouterException ex) {
+			if (claimed != null) {
+				claimed.failed(ex);
+			}
+			if (!answer.begun) {
+				throw ex;
+			}
+			connection.abort();
+		}
+	}
+
+	private static List<Header> headers(Context context) {
+		List<Header> headers = new ArrayList<>();
+		for (String name : Collections.list(context.req().getHeaderNames())) {
+			Collections.list(context.req().getHeaders(name)).forEach((value) -> headers.add(new Header(name, value)));
+		}
+		return headers;
+	}
+
+	/**
+	 * Writes the answer of a service to the caller.
+	 */
+	private static final class ContextAnswer implements ServiceAnswer {
+
+		private final Context context;
+
+		private boolean begun;
+
+		ContextAnswer(Context context) {
+			this.context = context;
+		}
+
+		@Override
+		public void begin(int status, List<Header> headers, long contentLength) {
+			this.begun = true;
+			this.context.res().setStatus(status);
+			this.context.status(status);
+			headers.forEach((header) -> this.context.res().addHeader(header.name(), header.value()));
+			this.context.res().setHeader(ErrorAnswer.VERDICT, ClaimGate.verdict(status).headerValue());
+			if (contentLength >= 0) {
+				this.context.res().setContentLengthLong(contentLength);
+			}
+		}
+
+		@Override
+		public void write(byte[] buffer, int length) throws IOException {
+			if (length > 0) {
+				this.context.res().getOutputStream().write(buffer, 0, length);
+				this.context.res().getOutputStream().flush();
+			}
+		}
+
+	}
+
+}
--- a/runtime/src/main/java/org/skylarkstack/kernel/ErrorType.java
+++ b/runtime/src/main/java/org/skylarkstack/kernel/ErrorType.java
@@ -80,6 +80,18 @@
 	KEY_WITHDRAWN(1305, 401, "authentication_error", Verdict.MAY_HAVE_RUN,
 			"the API key was withdrawn while the answer was under way"),
 
+	/** The engine no longer holds the result of the prefill. */
+	PREFILL_GONE(1306, 502, "api_error", Verdict.NOT_RUN, "backend server %s has no result of the prefill"),
+
+	/** The daemon shut down while the answer was under way. */
+	SHUT_DOWN(1307, 503, "api_error", Verdict.MAY_HAVE_RUN, "this VM shut down before the answer was whole"),
+
+	/** The caller closed its connection. */
+	CALLER_GONE(1308, 499, "api_error", Verdict.MAY_HAVE_RUN, "the caller closed its connection"),
+
+	/** The headers exceed their bound or are malformed. */
+	BAD_HEADERS(1309, 431, "invalid_request_error", Verdict.NOT_RUN, "the request headers are refused: %s"),
+
 	/** The ticket conflicts with another ticket. */
 	TICKET_CONFLICT(2001, 409, "conflict_error", Verdict.NOT_RUN, "ticket %s conflicts: %s"),
 
--- a/runtime/src/main/java/org/skylarkstack/kernel/RouterException.java
+++ b/runtime/src/main/java/org/skylarkstack/kernel/RouterException.java
@@ -34,6 +34,13 @@
 		this.retryAfter = retryAfter;
 	}
 
+	private RouterException(RouterException original, Verdict verdict, @Nullable Duration retryAfter) {
+		super(original.getMessage(), original);
+		this.type = original.type;
+		this.verdict = verdict;
+		this.retryAfter = retryAfter;
+	}
+
 	/**
 	 * Creates an error with a verdict of its own.
 	 * @param type the error type
@@ -57,6 +64,25 @@
 		return new RouterException(type, type.verdict(), retryAfter, null, arguments);
 	}
 
+	/**
+	 * Returns this error with what all attempts of the request together allow to say.
+	 * @param earlier the verdict about the earlier attempts
+	 * @return an error with the stronger of both verdicts
+	 */
+	public RouterException after(Verdict earlier) {
+		Verdict stronger = this.verdict.stronger(earlier);
+		return (stronger == this.verdict) ? this : new RouterException(this, stronger, this.retryAfter);
+	}
+
+	/**
+	 * Returns this error with a time to wait, unless it already names one.
+	 * @param wait the time to wait before another try
+	 * @return the error
+	 */
+	public RouterException withRetryAfter(Duration wait) {
+		return (this.retryAfter != null) ? this : new RouterException(this, this.verdict, wait);
+	}
+
 	/**
 	 * Returns the error type.
 	 * @return the type
--- a/runtime/src/main/java/org/skylarkstack/kernel/Verdict.java
+++ b/runtime/src/main/java/org/skylarkstack/kernel/Verdict.java
@@ -44,6 +44,15 @@
 	 */
 	public abstract boolean permitsRetry(boolean idempotent);
 
+	/**
+	 * Returns the verdict about two attempts together.
+	 * @param other the verdict about the other attempt
+	 * @return the one that claims more effect
+	 */
+	public Verdict stronger(Verdict other) {
+		return (other.ordinal() > ordinal()) ? other : this;
+	}
+
 	/**
 	 * Returns the value of the verdict header in answers.
 	 * @return the header value
--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/request/ClaimRepairs.java
@@ -0,0 +1,105 @@
+package org.skylarkstack.request;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+
+import org.skylarkstack.store.RowWrite;
+import org.skylarkstack.store.StoreException;
+import org.skylarkstack.store.TableStore;
+
+/**
+ * Bounded queue of claim writes that the store did not confirm: releases of claims whose
+ * request did not run, and outcomes of requests that ran. All of them are conditional on
+ * the claim's own attempt, so that repeating one is harmless.
+ */
+public final class ClaimRepairs {
+
+	private static final int MAX_ENTRIES = 2_000;
+
+	private static final int BATCH = 50;
+
+	// A write of unknown effect may still land; a release that found no row is repeated
+	// until this time has passed.
+	private static final long LATE_WRITE_NANOS = 30_000_000_000L;
+
+	// Longer than the store's usual outages; after that the claim's expiry ends it.
+	private static final long TERM_NANOS = 4 * 3_600_000_000_000L;
+
+	private final TableStore store;
+
+	private final Deque<Repair> queue = new ArrayDeque<>();
+
+	private long dropped;
+
+	/**
+	 * Creates a queue.
+	 * @param store the platform's table
+	 */
+	public ClaimRepairs(TableStore store) {
+		this.store = store;
+	}
+
+	synchronized void add(RowWrite write, long nowNanos) {
+		if (this.queue.size() >= MAX_ENTRIES) {
+			this.dropped++;
+			return;
+		}
+		this.queue.add(new Repair(write, nowNanos));
+	}
+
+	/**
+	 * Tries a bounded number of writes again. To be called periodically.
+	 * @param nowNanos the monotonic time in nanoseconds
+	 */
+	public void step(long nowNanos) {
+		int count = Math.min(BATCH, size());
+		for (int index = 0; index < count; index++) {
+			Repair repair = poll();
+			if (repair == null) {
+				return;
+			}
+			try {
+				boolean applied = this.store.write(List.of(repair.write));
+				if (!applied && repair.write.delete() && nowNanos - repair.firstNanos < LATE_WRITE_NANOS) {
+					putBack(repair);
+				}
+			}
+			catch (StoreException ex) {
+				if (nowNanos - repair.firstNanos < TERM_NANOS) {
+					putBack(repair);
+				}
+				return;
+			}
+		}
+	}
+
+	private synchronized @org.jspecify.annotations.Nullable Repair poll() {
+		return this.queue.poll();
+	}
+
+	private synchronized void putBack(Repair repair) {
+		this.queue.add(repair);
+	}
+
+	/**
+	 * Returns the writes that wait.
+	 * @return the count
+	 */
+	public synchronized int size() {
+		return this.queue.size();
+	}
+
+	/**
+	 * Returns the writes that found the queue full. Their claims stay until they expire.
+	 * @return the count since start
+	 */
+	public synchronized long dropped() {
+		return this.dropped;
+	}
+
+	private record Repair(RowWrite write, long firstNanos) {
+
+	}
+
+}
--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/request/ClaimRow.java
@@ -0,0 +1,92 @@
+package org.skylarkstack.request;
+
+import java.util.Base64;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+import org.jspecify.annotations.Nullable;
+import org.skylarkstack.kernel.ErrorType;
+import org.skylarkstack.kernel.RouterException;
+import org.skylarkstack.store.Row;
+import org.skylarkstack.store.RowCondition;
+import org.skylarkstack.store.RowWrite;
+
+/**
+ * Translates claims to rows of the table service and back.
+ */
+final class ClaimRow {
+
+	private static final String ATTEMPT = "attempt";
+
+	private static final String REQUEST = "request";
+
+	private static final String STATE = "state";
+
+	private static final String OPEN = "open";
+
+	private static final String RAN = "ran";
+
+	private static final String ANSWERED = "answered";
+
+	private static final String STATUS = "status";
+
+	private static final String CONTENT_TYPE = "contentType";
+
+	private static final String BODY = "body";
+
+	private ClaimRow() {
+	}
+
+	static Row open(Claim claim, long expiresMillis) {
+		return new Row(claim.partition(), claim.sort(), common(claim, OPEN, expiresMillis));
+	}
+
+	static RowWrite outcome(Claim claim, @Nullable StoredAnswer answer, long expiresMillis) {
+		Map<String, String> attributes = common(claim, (answer != null) ? ANSWERED : RAN, expiresMillis);
+		if (answer != null) {
+			attributes.put(STATUS, Integer.toString(answer.status()));
+			attributes.put(CONTENT_TYPE, answer.contentType());
+			attributes.put(BODY, Base64.getEncoder().encodeToString(answer.body()));
+		}
+		return RowWrite.put(new Row(claim.partition(), claim.sort(), attributes), ownedBy(claim.attemptId()));
+	}
+
+	static RowWrite release(Claim claim) {
+		return RowWrite.delete(new Row(claim.partition(), claim.sort(), Map.of()), ownedBy(claim.attemptId()));
+	}
+
+	private static Map<String, String> common(Claim claim, String state, long expiresMillis) {
+		Map<String, String> attributes = new HashMap<>();
+		attributes.put(ATTEMPT, claim.attemptId());
+		attributes.put(REQUEST, claim.requestHash());
+		attributes.put(STATE, state);
+		attributes.put(ExpiringRows.EXPIRES, Long.toString(expiresMillis));
+		return attributes;
+	}
+
+	static RowCondition ownedBy(String attemptId) {
+		return RowCondition.attributeEquals(ATTEMPT, attemptId);
+	}
+
+	static String attempt(Row row) {
+		return row.attributes().getOrDefault(ATTEMPT, "");
+	}
+
+	// Returns the answer that another attempt has stored.
+	// @throws RouterException if there is no answer to give
+	static Optional<StoredAnswer> answer(Row row, Claim claim) {
+		Map<String, String> attributes = row.attributes();
+		if (!claim.requestHash().equals(attributes.get(REQUEST))) {
+			throw new RouterException(ErrorType.CLAIM_MISMATCH);
+		}
+		return switch (attributes.getOrDefault(STATE, OPEN)) {
+			case ANSWERED -> Optional.of(new StoredAnswer(Integer.parseInt(attributes.getOrDefault(STATUS, "200")),
+					attributes.getOrDefault(CONTENT_TYPE, ""),
+					Base64.getDecoder().decode(attributes.getOrDefault(BODY, ""))));
+			case RAN -> throw new RouterException(ErrorType.ANSWER_NOT_KEPT);
+			default -> throw new RouterException(ErrorType.CLAIM_IN_PROGRESS);
+		};
+	}
+
+}
--- a/runtime/src/main/java/org/skylarkstack/request/CompletionRequest.java
+++ b/runtime/src/main/java/org/skylarkstack/request/CompletionRequest.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.skylarkstack.kernel.ErrorType;
 import org.skylarkstack.kernel.RouterException;
+import org.skylarkstack.misc.Hashes;
 import org.skylarkstack.schedule.RequestClass;
 
 /**
@@ -14,52 +15,78 @@
  * @param model the model
  * @param stream whether the answer is streamed
  * @param promptTokens the estimated prompt tokens
- * @param maxOutputTokens the bound of the output tokens
+ * @param maxOutputTokens the bound of the output tokens over all choices
  * @param requestClass the urgency
+ * @param idempotent whether the request may run more than once
  */
 public record CompletionRequest(String path, ObjectNode body, String model, boolean stream, int promptTokens,
-		int maxOutputTokens, RequestClass requestClass) {
+		int maxOutputTokens, RequestClass requestClass, boolean idempotent) {
 
-	/** Output bound of requests that state none. */
+	/** Output bound of requests that state none, for each choice. */
 	public static final int DEFAULT_OUTPUT_TOKENS = 512;
 
 	private static final int BYTES_PER_TOKEN = 4;
 
+	// The bound of the OpenAI API.
+	private static final int MAX_CHOICES = 128;
+
+	// Larger than any model's output; the product with the choices stays within an int.
+	private static final int MAX_OUTPUT_TOKENS = 1_000_000;
+
 	/**
 	 * Checks a body.
 	 * @param path the API path
 	 * @param body the JSON body
+	 * @param idempotent whether the request may run more than once
 	 * @return the request
 	 * @throws RouterException with {@link ErrorType#BAD_REQUEST} if a field is missing or
 	 * wrong
 	 */
-	public static CompletionRequest parse(String path, JsonNode body) {
+	public static CompletionRequest parse(String path, JsonNode body, boolean idempotent) {
 		if (!(body instanceof ObjectNode object)) {
 			throw new RouterException(ErrorType.BAD_REQUEST, "the body must be a JSON object");
 		}
 		JsonNode model = object.path("model");
-		if (!model.isTextual()) {
+		if (!model.isTextual() || model.asText().isEmpty()) {
 			throw new RouterException(ErrorType.BAD_REQUEST, "model must be a string");
 		}
-		JsonNode prompt = path.endsWith("/chat/completions") ? object.path("messages") : object.path("prompt");
-		if (prompt.isMissingNode() || prompt.isNull()) {
-			throw new RouterException(ErrorType.BAD_REQUEST, "messages or prompt is missing");
+		JsonNode stream = object.path("stream");
+		if (!stream.isMissingNode() && !stream.isNull() && !stream.isBoolean()) {
+			throw new RouterException(ErrorType.BAD_REQUEST, "stream must be a boolean");
 		}
-		int promptTokens = Math.max(1, prompt.toString().length() / BYTES_PER_TOKEN);
-		return new CompletionRequest(path, object, model.asText(), object.path("stream").asBoolean(false), promptTokens,
-				outputBound(object), requestClass(object));
+		int promptTokens = Math.max(1, prompt(path, object).toString().length() / BYTES_PER_TOKEN);
+		int choices = positive(object, "n", 1, MAX_CHOICES);
+		return new CompletionRequest(path, object, model.asText(), stream.asBoolean(false), promptTokens,
+				choices * outputBound(object), requestClass(object), idempotent);
+	}
+
+	private static JsonNode prompt(String path, ObjectNode body) {
+		boolean chat = path.endsWith("/chat/completions");
+		JsonNode prompt = chat ? body.path("messages") : body.path("prompt");
+		if (chat && (!prompt.isArray() || prompt.isEmpty())) {
+			throw new RouterException(ErrorType.BAD_REQUEST, "messages must be an array that is not empty");
+		}
+		if (!prompt.isTextual() && !prompt.isArray()) {
+			throw new RouterException(ErrorType.BAD_REQUEST, "prompt must be a string or an array");
+		}
+		return prompt;
 	}
 
 	private static int outputBound(ObjectNode body) {
-		JsonNode bound = body.has("max_completion_tokens") ? body.path("max_completion_tokens")
-				: body.path("max_tokens");
-		if (bound.isMissingNode() || bound.isNull()) {
-			return DEFAULT_OUTPUT_TOKENS;
+		String field = body.hasNonNull("max_completion_tokens") ? "max_completion_tokens" : "max_tokens";
+		return positive(body, field, DEFAULT_OUTPUT_TOKENS, MAX_OUTPUT_TOKENS);
+	}
+
+	private static int positive(ObjectNode body, String field, int absent, int most) {
+		JsonNode value = body.path(field);
+		if (value.isMissingNode() || value.isNull()) {
+			return absent;
 		}
-		if (!bound.canConvertToInt() || bound.asInt() <= 0) {
-			throw new RouterException(ErrorType.BAD_REQUEST, "max_tokens must be a positive integer");
+		if (!value.isIntegralNumber() || !value.canConvertToInt() || value.asInt() <= 0 || value.asInt() > most) {
+			throw new RouterException(ErrorType.BAD_REQUEST,
+					"%s must be an integer from 1 to %d".formatted(field, most));
 		}
-		return bound.asInt();
+		return value.asInt();
 	}
 
 	private static RequestClass requestClass(ObjectNode body) {
@@ -69,4 +96,28 @@
 		};
 	}
 
+	/**
+	 * Returns the body for engines: the output bound is stated, because it is what the
+	 * team's tokens were reserved for, and an answer that is assembled here contains its
+	 * usage.
+	 * @return a copy of the body
+	 */
+	public ObjectNode engineBody() {
+		ObjectNode engineBody = this.body.deepCopy();
+		engineBody.put("max_tokens", outputBound(this.body));
+		if (!this.stream) {
+			engineBody.putObject("stream_options").put("include_usage", true);
+		}
+		return engineBody;
+	}
+
+	/**
+	 * Returns what identifies the request among re-sends.
+	 * @param teamId the team
+	 * @return the hash of team, path and body
+	 */
+	public String fingerprint(String teamId) {
+		return Hashes.sha256(teamId + '\n' + this.path + '\n' + this.body);
+	}
+
 }
--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/request/CompletionRun.java
@@ -0,0 +1,332 @@
+package org.skylarkstack.request;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import org.jspecify.annotations.Nullable;
+import org.skylarkstack.configuration.EngineNode;
+import org.skylarkstack.configuration.ObjectKind;
+import org.skylarkstack.configuration.Team;
+import org.skylarkstack.engine.DecodeEvent;
+import org.skylarkstack.engine.DecodeStream;
+import org.skylarkstack.engine.EngineCall;
+import org.skylarkstack.kernel.CancelReason;
+import org.skylarkstack.kernel.Cancellation;
+import org.skylarkstack.kernel.ErrorType;
+import org.skylarkstack.kernel.RouterException;
+import org.skylarkstack.kernel.Verdict;
+import org.skylarkstack.schedule.Placement;
+import org.skylarkstack.schedule.PlacementRelease;
+import org.skylarkstack.schedule.PlacementRequest;
+
+/**
+ * One completion request from its first attempt to its last.
+ *
+ * <p>
+ * Each attempt takes a placement, prefills unless an earlier prefill result is still
+ * usable, and decodes from the first token that the caller does not have. On every path
+ * out of an attempt the placement is released once, the prefill result is either imported
+ * by a decode or cancelled, and a decode either reaches its end marker or is cancelled.
+ */
+final class CompletionRun {
+
+	private static final int PLACEMENT_TRIES = 3;
+
+	private static final long INTERACTIVE_WAIT_NANOS = 500_000_000L;
+
+	// Callers of batch requests keep their connection open; an hour is the longest idle
+	// time that balancers commonly allow.
+	private static final long BATCH_WAIT_NANOS = 3_600_000_000_000L;
+
+	private final RequestParts parts;
+
+	private final Team team;
+
+	private final CompletionRequest request;
+
+	private final Cancellation cancellation;
+
+	private final AnswerSink sink;
+
+	private final String requestId;
+
+	private final String fingerprint;
+
+	private final TokenCursor cursor = new TokenCursor();
+
+	private final Set<String> failedEngines = new HashSet<>();
+
+	private @Nullable PrefillHold prefill;
+
+	private Verdict verdict = Verdict.NOT_RUN;
+
+	private String failedEngine = "";
+
+	private String suspectAttempt = "";
+
+	private int attempts;
+
+	private long prefilledTokens;
+
+	CompletionRun(RequestParts parts, Team team, CompletionRequest request, Cancellation cancellation,
+			AnswerSink sink) {
+		this.parts = parts;
+		this.team = team;
+		this.request = request;
+		this.cancellation = cancellation;
+		this.sink = sink;
+		this.requestId = parts.ids().next();
+		this.fingerprint = request.fingerprint(team.id());
+	}
+
+	long usedTokens() {
+		return this.prefilledTokens + this.cursor.delivered();
+	}
+
+	void run() {
+		boolean whole = false;
+		try {
+			runAttempts();
+			whole = true;
+		}
+		catch (CallerGoneException ex) {
+			this.cancellation.cancel(CancelReason.CALLER_GONE);
+			throw ex;
+		}
+		finally {
+			releasePrefill();
+			if (!whole) {
+				this.parts.counters().prefillWasted(this.prefilledTokens);
+			}
+		}
+		if (!this.suspectAttempt.isEmpty()) {
+			this.parts.suspectRuns().clear(this.fingerprint, this.suspectAttempt);
+			this.parts.crashReporter().clear(this.fingerprint);
+		}
+	}
+
+	private void runAttempts() {
+		while (true) {
+			try {
+				attempt();
+				return;
+			}
+			catch (RouterException ex) {
+				this.verdict = this.verdict.stronger(ex.verdict());
+				reportCrash(ex);
+				this.cancellation.check(this.verdict);
+				if (!this.parts.retryPolicy()
+					.permits(ex, this.verdict, this.attempts, this.request.idempotent(), this.cursor.delivered(),
+							this.parts.time().nanos())) {
+					throw ex.after(this.verdict);
+				}
+				this.parts.counters().attemptAgain(this.cursor.delivered() > 0);
+			}
+		}
+	}
+
+	private void attempt() {
+		this.cancellation.check(this.verdict);
+		this.failedEngine = "";
+		this.attempts++;
+		String attemptId = RequestIds.attempt(this.requestId, this.attempts);
+		boolean isolated = checkSuspect(attemptId);
+		Placement placement = place(attemptId, isolated);
+		long before = usedTokens();
+		try {
+			this.cancellation.check(this.verdict);
+			runPlaced(placement, attemptId);
+		}
+		finally {
+			this.parts.placer().release(placement, new PlacementRelease(usedTokens() - before, this.failedEngine));
+		}
+	}
+
+	// Returns whether the request is a suspect that may run once more.
+	private boolean checkSuspect(String attemptId) {
+		int losses = this.parts.suspects().losses(this.fingerprint, this.parts.time().nanos());
+		if (losses == 0) {
+			return false;
+		}
+		if (losses < CrashSuspects.MAX_LOSSES && !this.suspectAttempt.isEmpty()) {
+			return true;
+		}
+		if (losses >= CrashSuspects.MAX_LOSSES
+				|| !this.parts.suspectRuns().take(this.fingerprint, attemptId, this.parts.time().epochMillis())) {
+			throw new RouterException(ErrorType.CRASH_SUSPECT, losses);
+		}
+		this.suspectAttempt = attemptId;
+		return true;
+	}
+
+	private Placement place(String attemptId, boolean isolated) {
+		Placement placement = placeOnce(attemptId, isolated);
+		for (int tries = 1; tries < PLACEMENT_TRIES && usesFailedEngine(placement); tries++) {
+			// The rejected placement stays taken meanwhile, so that a placer that takes
+			// the
+			// least busy engine names another one.
+			Placement rejected = placement;
+			try {
+				placement = placeOnce(attemptId + "r" + tries, isolated);
+			}
+			catch (RouterException ex) {
+				if (this.cancellation.reason() != null) {
+					this.parts.placer().release(rejected, new PlacementRelease(0, ""));
+					throw ex;
+				}
+				break;
+			}
+			this.parts.placer().release(rejected, new PlacementRelease(0, ""));
+		}
+		return placement;
+	}
+
+	private boolean usesFailedEngine(Placement placement) {
+		return this.failedEngines.contains(placement.decodeEngineId())
+				|| (this.prefill == null && this.failedEngines.contains(placement.prefillEngineId()));
+	}
+
+	private Placement placeOnce(String placementId, boolean isolated) {
+		long wait = this.request.requestClass().mayWait() ? BATCH_WAIT_NANOS : INTERACTIVE_WAIT_NANOS;
+		PlacementRequest wanted = new PlacementRequest(placementId, this.parts.vmId(), this.request.model(),
+				this.team.id(), this.team.weight(), this.request.requestClass(), this.request.promptTokens(),
+				this.request.maxOutputTokens(), List.of(), wait, isolated);
+		Thread waiting = Thread.currentThread();
+		try (Cancellation.Registration registration = this.cancellation.onCancel(waiting::interrupt)) {
+			return this.parts.placer().place(wanted);
+		}
+		catch (RouterException ex) {
+			this.cancellation.check(this.verdict);
+			throw ex;
+		}
+		finally {
+			// The registration is closed: an interrupt that came too late must not end a
+			// later wait of this thread.
+			Thread.interrupted();
+		}
+	}
+
+	private void runPlaced(Placement placement, String attemptId) {
+		EngineCall call = new EngineCall(attemptId, this.parts.ids().owner(), this.request.path(),
+				this.request.engineBody(), this.cancellation);
+		PrefillHold hold = this.prefill;
+		if (hold == null || !hold.reusable(this.parts.time().nanos())) {
+			hold = prefill(placement.prefillEngineId(), call);
+		}
+		decode(placement.decodeEngineId(), call, hold);
+	}
+
+	private PrefillHold prefill(String engineId, EngineCall call) {
+		releasePrefill();
+		EngineNode engine = engine(engineId);
+		try {
+			PrefillHold hold = new PrefillHold(engineId, call.requestId(), this.parts.engines().prefill(engine, call),
+					this.parts.time().nanos());
+			this.prefill = hold;
+			this.verdict = this.verdict.stronger(Verdict.MAY_HAVE_RUN);
+			long tokens = hold.result().promptTokens();
+			this.parts.counters().prefilled(tokens, this.prefilledTokens > 0);
+			this.prefilledTokens = Math.max(this.prefilledTokens, tokens);
+			return hold;
+		}
+		catch (RouterException ex) {
+			failed(engineId, ex);
+			if (ex.verdict() != Verdict.NOT_RUN) {
+				this.parts.canceller().cancel(engineId, call.requestId());
+			}
+			throw ex;
+		}
+	}
+
+	private void decode(String engineId, EngineCall call, PrefillHold hold) {
+		EngineNode engine = engine(engineId);
+		boolean sent = true;
+		boolean whole = false;
+		this.cursor.startAttempt();
+		try (DecodeStream stream = this.parts.engines().decode(engine, call, hold.result(), this.cursor.delivered())) {
+			relay(engineId, stream);
+			whole = true;
+		}
+		catch (RouterException ex) {
+			sent = ex.verdict() != Verdict.NOT_RUN;
+			failed(engineId, ex);
+			if (ex.type() == ErrorType.PREFILL_GONE) {
+				this.prefill = null;
+			}
+			throw ex;
+		}
+		finally {
+			if (!whole && sent) {
+				this.parts.canceller().cancel(engineId, call.requestId());
+			}
+		}
+	}
+
+	private void relay(String engineId, DecodeStream stream) {
+		for (DecodeEvent event = stream.next(); event != null; event = stream.next()) {
+			// The first event shows that the engine has imported the prefill result.
+			this.prefill = null;
+			this.cancellation.check(Verdict.MAY_HAVE_RUN);
+			switch (this.cursor.accept(event)) {
+				case DELIVER -> this.sink.event(event.data());
+				case REPEATED -> this.parts.counters().repeatedEvent();
+				case GAP -> throw RouterException.of(ErrorType.BACKEND_FAILED, Verdict.MAY_HAVE_RUN, null, engineId,
+						"token %d follows token %d".formatted(event.tokenOffset(), this.cursor.delivered()));
+			}
+		}
+	}
+
+	private void failed(String engineId, RouterException failure) {
+		if (this.cancellation.reason() == null && failure.type() != ErrorType.PREFILL_GONE
+				&& failure.type() != ErrorType.BAD_REQUEST) {
+			this.failedEngine = engineId;
+			this.failedEngines.add(engineId);
+			PrefillHold hold = this.prefill;
+			if (hold != null && hold.engineId().equals(engineId)) {
+				releasePrefill();
+			}
+		}
+	}
+
+	private void releasePrefill() {
+		PrefillHold hold = this.prefill;
+		if (hold != null) {
+			this.prefill = null;
+			this.parts.canceller().cancel(hold.engineId(), hold.attemptId());
+		}
+	}
+
+	private void reportCrash(RouterException failure) {
+		boolean broken = failure.type() == ErrorType.BACKEND_FAILED && failure.verdict() == Verdict.MAY_HAVE_RUN
+				&& failure.getCause() instanceof java.io.IOException;
+		if (!broken || this.cancellation.reason() != null || this.failedEngine.isEmpty()
+				|| isAlive(engine(this.failedEngine))) {
+			return;
+		}
+		this.parts.suspectRuns().seen(this.fingerprint);
+		this.parts.crashReporter()
+			.report(this.fingerprint, RequestIds.attempt(this.requestId, this.attempts), this.failedEngine,
+					this.cancellation);
+	}
+
+	// A broken connection alone is no crash: a server may close an idle connection while
+	// a request is on its way.
+	private boolean isAlive(EngineNode engine) {
+		try {
+			this.parts.engines().load(engine);
+			return true;
+		}
+		catch (RouterException ex) {
+			return false;
+		}
+	}
+
+	private EngineNode engine(String id) {
+		return this.parts.configuration()
+			.current()
+			.find(EngineNode.class, ObjectKind.ENGINE, id)
+			.orElseThrow(() -> new RouterException(ErrorType.NO_ENGINE, this.request.model()));
+	}
+
+}
--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/request/CrashReporter.java
@@ -0,0 +1,168 @@
+package org.skylarkstack.request;
+
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+import org.skylarkstack.kernel.Cancellation;
+import org.skylarkstack.membership.Membership;
+import org.skylarkstack.membership.MembershipView;
+import org.skylarkstack.misc.TimeSource;
+import org.skylarkstack.peer.PeerTransport;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Shares crash suspects with the peers. Learning of a crash ends the other running
+ * requests with the same content, because each of them could cost another backend server.
+ */
+public final class CrashReporter {
+
+	private static final Logger LOG = LoggerFactory.getLogger(CrashReporter.class);
+
+	private static final long ACK_WAIT_MILLIS = 200;
+
+	private final CrashSuspects suspects;
+
+	private final OpenRequests openRequests;
+
+	private final Membership membership;
+
+	private final PeerTransport transport;
+
+	private final TimeSource time;
+
+	private final Map<String, Round> rounds = new ConcurrentHashMap<>();
+
+	/**
+	 * Creates a reporter and handles the messages of peers.
+	 * @param suspects the suspects known here
+	 * @param openRequests the requests running here
+	 * @param membership names the peers
+	 * @param transport sends the reports
+	 * @param time the time source
+	 */
+	public CrashReporter(CrashSuspects suspects, OpenRequests openRequests, Membership membership,
+			PeerTransport transport, TimeSource time) {
+		this.suspects = suspects;
+		this.openRequests = openRequests;
+		this.membership = membership;
+		this.transport = transport;
+		this.time = time;
+		transport.handle(CrashReport.class, this::learn);
+		transport.handle(CrashReportAck.class, this::acknowledge);
+	}
+
+	/**
+	 * Records a loss and waits for a bounded time until the peers have confirmed it.
+	 * @param fingerprint the hash of team and body
+	 * @param crashId the attempt whose engine died
+	 * @param engineId the engine
+	 * @param running the cancellation of the request that reports
+	 */
+	public void report(String fingerprint, String crashId, String engineId, Cancellation running) {
+		CompletableFuture<Void> told = tell(fingerprint, crashId, engineId, running);
+		try {
+			told.get(ACK_WAIT_MILLIS, TimeUnit.MILLISECONDS);
+		}
+		catch (TimeoutException ex) {
+			LOG.atWarn().addKeyValue("event", "crash_report_unconfirmed").addKeyValue("crash", crashId).log();
+		}
+		catch (ExecutionException ex) {
+			throw new IllegalStateException("a crash report never fails", ex);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+		finally {
+			this.rounds.remove(crashId);
+		}
+	}
+
+	// Records a loss and tells the peers; the result ends when all have confirmed.
+	CompletableFuture<Void> tell(String fingerprint, String crashId, String engineId, Cancellation running) {
+		this.suspects.record(fingerprint, crashId, this.time.nanos());
+		this.openRequests.endSuspects(fingerprint, running);
+		LOG.atWarn()
+			.addKeyValue("event", "engine_lost")
+			.addKeyValue("engine", engineId)
+			.addKeyValue("attempt", crashId)
+			.log();
+		Set<String> peers = peers();
+		Round round = new Round(new HashSet<>(peers));
+		this.rounds.put(crashId, round);
+		CrashReport report = new CrashReport(fingerprint, crashId, engineId, false);
+		for (String peer : peers) {
+			if (!this.transport.send(peer, report)) {
+				round.confirm(peer);
+			}
+		}
+		round.finishIfEmpty();
+		return round.done;
+	}
+
+	/**
+	 * Forgets a suspect here and at the peers because it ran to its end.
+	 * @param fingerprint the hash of team and body
+	 */
+	public void clear(String fingerprint) {
+		this.suspects.clear(fingerprint);
+		peers().forEach((peer) -> this.transport.send(peer, new CrashReport(fingerprint, "", "", true)));
+	}
+
+	private Set<String> peers() {
+		MembershipView view = this.membership.view();
+		Set<String> peers = new HashSet<>(view.members().keySet());
+		peers.remove(view.self());
+		return peers;
+	}
+
+	private void learn(String from, CrashReport report) {
+		if (report.cleared()) {
+			this.suspects.clear(report.fingerprint());
+			return;
+		}
+		this.suspects.record(report.fingerprint(), report.crashId(), this.time.nanos());
+		this.openRequests.endSuspects(report.fingerprint(), new Cancellation());
+		this.transport.send(from, new CrashReportAck(report.crashId()));
+	}
+
+	private void acknowledge(String from, CrashReportAck ack) {
+		Round round = this.rounds.get(ack.crashId());
+		if (round != null) {
+			round.confirm(from);
+		}
+	}
+
+	/**
+	 * Peers that have not confirmed a report yet.
+	 */
+	private static final class Round {
+
+		private final Set<String> awaited;
+
+		private final CompletableFuture<Void> done = new CompletableFuture<>();
+
+		Round(Set<String> peers) {
+			this.awaited = peers;
+		}
+
+		synchronized void confirm(String peer) {
+			this.awaited.remove(peer);
+			finishIfEmpty();
+		}
+
+		synchronized void finishIfEmpty() {
+			if (this.awaited.isEmpty()) {
+				this.done.complete(null);
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/request/DeadIncarnations.java
@@ -0,0 +1,18 @@
+package org.skylarkstack.request;
+
+/**
+ * Tells which incarnations are dead.
+ */
+@FunctionalInterface
+public interface DeadIncarnations {
+
+	/**
+	 * Returns whether membership regards an incarnation as dead: removed, or replaced by
+	 * a new incarnation of the same VM.
+	 * @param vmId the VM
+	 * @param incarnation the random number of a start
+	 * @return whether it is dead
+	 */
+	boolean isDead(String vmId, long incarnation);
+
+}
--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/request/ExpiringRows.java
@@ -0,0 +1,93 @@
+package org.skylarkstack.request;
+
+import java.util.List;
+
+import org.skylarkstack.store.Row;
+import org.skylarkstack.store.RowCondition;
+import org.skylarkstack.store.RowWrite;
+import org.skylarkstack.store.StoreException;
+import org.skylarkstack.store.TableStore;
+
+/**
+ * Deletes expired rows in small steps: each step reads one page of one partition. The
+ * expiry is wall-clock time because it has to outlive daemons; rows are deleted one hour
+ * late, so that clocks of VMs may differ by that much.
+ */
+public final class ExpiringRows {
+
+	/** Attribute with the expiry in milliseconds since the epoch. */
+	public static final String EXPIRES = "expires";
+
+	private static final long CLOCK_MARGIN_MILLIS = 3_600_000;
+
+	private static final int PAGE_ROWS = 25;
+
+	private static final String ATTEMPT = "attempt";
+
+	private final TableStore store;
+
+	private final List<String> partitions;
+
+	private int partition;
+
+	private String afterSort = "";
+
+	/**
+	 * Creates a cleaner.
+	 * @param store the platform's table
+	 * @param partitions the partitions to clean
+	 */
+	public ExpiringRows(TableStore store, List<String> partitions) {
+		this.store = store;
+		this.partitions = List.copyOf(partitions);
+	}
+
+	static boolean isExpired(Row row, long epochMillis) {
+		return Long.parseLong(row.attributes().getOrDefault(EXPIRES, "0")) <= epochMillis;
+	}
+
+	/**
+	 * Cleans one page.
+	 * @param owned tells whether this VM cleans a partition
+	 * @param epochMillis the wall-clock time
+	 * @return the number of deleted rows
+	 */
+	public int step(java.util.function.Predicate<String> owned, long epochMillis) {
+		String name = this.partitions.get(this.partition);
+		if (!owned.test(name)) {
+			nextPartition();
+			return 0;
+		}
+		try {
+			List<Row> page = this.store.query(name, this.afterSort, PAGE_ROWS);
+			if (page.size() < PAGE_ROWS) {
+				nextPartition();
+			}
+			else {
+				this.afterSort = page.get(page.size() - 1).sort();
+			}
+			return delete(page, epochMillis);
+		}
+		catch (StoreException ex) {
+			return 0;
+		}
+	}
+
+	private int delete(List<Row> page, long epochMillis) {
+		int deleted = 0;
+		for (Row row : page) {
+			if (isExpired(row, epochMillis - CLOCK_MARGIN_MILLIS)) {
+				RowCondition unchanged = RowCondition.attributeEquals(ATTEMPT,
+						row.attributes().getOrDefault(ATTEMPT, ""));
+				deleted += this.store.write(List.of(RowWrite.delete(row, unchanged))) ? 1 : 0;
+			}
+		}
+		return deleted;
+	}
+
+	private void nextPartition() {
+		this.partition = (this.partition + 1) % this.partitions.size();
+		this.afterSort = "";
+	}
+
+}
--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/request/HeaderFilter.java
@@ -0,0 +1,72 @@
+package org.skylarkstack.request;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+
+/**
+ * Selects the headers that pass between callers and plain services. Headers of one hop
+ * and all that names the caller's credentials stay behind.
+ */
+public final class HeaderFilter {
+
+	private static final Set<String> HOP_BY_HOP = Set.of("connection", "keep-alive", "proxy-connection",
+			"proxy-authenticate", "proxy-authentication-info", "te", "trailer", "transfer-encoding", "upgrade");
+
+	private static final Set<String> CREDENTIALS = Set.of("authorization", "proxy-authorization", "x-api-key",
+			"api-key", "x-auth-token", "x-authorization");
+
+	/** Headers that each hop makes itself. */
+	private static final Set<String> OWN = Set.of("host", "content-length", "expect");
+
+	private static final String ROUTER_PREFIX = "x-skylark-";
+
+	private HeaderFilter() {
+	}
+
+	/**
+	 * Selects the headers of a request.
+	 * @param headers the caller's headers
+	 * @param callerKey the caller's key, or an empty string; a header that contains it
+	 * stays behind whatever its name is
+	 * @return the headers for the service
+	 */
+	public static List<Header> towardsService(List<Header> headers, String callerKey) {
+		List<Header> passed = pass(headers);
+		passed.removeIf((header) -> CREDENTIALS.contains(lower(header.name()))
+				|| (!callerKey.isEmpty() && header.value().contains(callerKey)));
+		return passed;
+	}
+
+	/**
+	 * Selects the headers of an answer.
+	 * @param headers the service's headers
+	 * @return the headers for the caller
+	 */
+	public static List<Header> towardsCaller(List<Header> headers) {
+		return pass(headers);
+	}
+
+	private static List<Header> pass(List<Header> headers) {
+		Set<String> named = new HashSet<>();
+		headers.stream()
+			.filter((header) -> "connection".equals(lower(header.name())))
+			.forEach((header) -> List.of(header.value().split(",")).forEach((name) -> named.add(lower(name.trim()))));
+		List<Header> passed = new ArrayList<>();
+		for (Header header : headers) {
+			String name = lower(header.name());
+			if (!named.contains(name) && !HOP_BY_HOP.contains(name) && !OWN.contains(name)
+					&& !name.startsWith(ROUTER_PREFIX)) {
+				passed.add(header);
+			}
+		}
+		return passed;
+	}
+
+	private static String lower(String text) {
+		return text.toLowerCase(Locale.ROOT);
+	}
+
+}
--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/request/HeldMemorySweeper.java
@@ -0,0 +1,87 @@
+package org.skylarkstack.request;
+
+import java.util.List;
+
+import org.skylarkstack.configuration.ConfigurationHolder;
+import org.skylarkstack.configuration.EngineNode;
+import org.skylarkstack.engine.EngineClient;
+import org.skylarkstack.engine.HeldRequest;
+import org.skylarkstack.kernel.RouterException;
+import org.skylarkstack.membership.Membership;
+
+/**
+ * Frees engine memory of dead daemons. A hold is cancelled only if membership regards its
+ * owner as dead and the engine has not heard from the owner for the hold term: a VM that
+ * is merely cut off from this one still talks to its engines.
+ */
+public final class HeldMemorySweeper {
+
+	private static final long HOLD_TERM_MILLIS = 10_000;
+
+	private static final int HEXADECIMAL = 16;
+
+	private final EngineClient engines;
+
+	private final ConfigurationHolder configuration;
+
+	private final Membership membership;
+
+	private final DeadIncarnations dead;
+
+	private final EngineCanceller canceller;
+
+	/**
+	 * Creates a sweeper.
+	 * @param engines calls engines
+	 * @param configuration names the engines
+	 * @param membership tells which engines this VM sweeps
+	 * @param dead tells which owners are dead
+	 * @param canceller cancels on engines
+	 */
+	public HeldMemorySweeper(EngineClient engines, ConfigurationHolder configuration, Membership membership,
+			DeadIncarnations dead, EngineCanceller canceller) {
+		this.engines = engines;
+		this.configuration = configuration;
+		this.membership = membership;
+		this.dead = dead;
+		this.canceller = canceller;
+	}
+
+	/** Sweeps the engines whose soft owner is this VM. To be called periodically. */
+	public void sweep() {
+		String self = this.membership.view().self();
+		List<EngineNode> owned = this.configuration.current()
+			.live(EngineNode.class)
+			.filter((engine) -> this.membership.view().softOwner("engine/" + engine.id()).equals(self))
+			.toList();
+		owned.forEach(this::sweep);
+	}
+
+	private void sweep(EngineNode engine) {
+		try {
+			for (HeldRequest held : this.engines.held(engine)) {
+				if (isAbandoned(held, this.dead)) {
+					this.canceller.cancel(engine.id(), held.requestId());
+				}
+			}
+		}
+		catch (RouterException ex) {
+			// The engine did not answer; the next periodic call tries again.
+		}
+	}
+
+	static boolean isAbandoned(HeldRequest held, DeadIncarnations dead) {
+		int dot = held.owner().lastIndexOf('.');
+		if (dot < 0 || held.idleMillis() < HOLD_TERM_MILLIS) {
+			return false;
+		}
+		try {
+			long incarnation = Long.parseUnsignedLong(held.owner().substring(dot + 1), HEXADECIMAL);
+			return dead.isDead(held.owner().substring(0, dot), incarnation);
+		}
+		catch (NumberFormatException ex) {
+			return false;
+		}
+	}
+
+}
--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/request/IdempotencyClaims.java
@@ -0,0 +1,149 @@
+package org.skylarkstack.request;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.jspecify.annotations.Nullable;
+import org.skylarkstack.kernel.ErrorType;
+import org.skylarkstack.kernel.RouterException;
+import org.skylarkstack.misc.TimeSource;
+import org.skylarkstack.store.Row;
+import org.skylarkstack.store.RowCondition;
+import org.skylarkstack.store.RowWrite;
+import org.skylarkstack.store.StoreException;
+import org.skylarkstack.store.TableStore;
+import org.skylarkstack.store.WriteEffect;
+
+/**
+ * Claims of idempotency keys in the platform's table.
+ *
+ * <p>
+ * A request is sent only after its claim is known to be stored. From then on the claim is
+ * removed only if nothing can have run; otherwise it stays until its expiry, with the
+ * outcome once that is known. A daemon that dies after the dispatch therefore leaves a
+ * claim that refuses every re-send.
+ */
+public final class IdempotencyClaims {
+
+	private static final long TERM_MILLIS = 24 * 3_600_000L;
+
+	private final TableStore store;
+
+	private final ClaimRepairs repairs;
+
+	private final TimeSource time;
+
+	/**
+	 * Creates the claims.
+	 * @param store the platform's table
+	 * @param repairs finishes what the store did not confirm
+	 * @param time the time source
+	 */
+	public IdempotencyClaims(TableStore store, ClaimRepairs repairs, TimeSource time) {
+		this.store = store;
+		this.repairs = repairs;
+		this.time = time;
+	}
+
+	/**
+	 * Claims a key.
+	 * @param claim the claim
+	 * @return the answer of the request that had the claim before; empty if the claim is
+	 * made and the request may be sent
+	 * @throws RouterException if the request must not be sent and there is no answer
+	 */
+	public Optional<StoredAnswer> claim(Claim claim) {
+		try {
+			if (put(claim, RowCondition.ABSENT)) {
+				return Optional.empty();
+			}
+		}
+		catch (StoreException ex) {
+			if (ex.effect() == WriteEffect.NOT_APPLIED) {
+				throw new RouterException(ErrorType.CLAIM_UNAVAILABLE);
+			}
+			return settleLostReply(claim);
+		}
+		try {
+			return takeOverOrAnswer(claim);
+		}
+		catch (StoreException ex) {
+			// The put may have failed its condition on our own row when the store retried
+			// it, or the take-over may still land.
+			return refuse(claim);
+		}
+	}
+
+	private boolean put(Claim claim, RowCondition condition) {
+		long expires = this.time.epochMillis() + TERM_MILLIS;
+		return this.store.write(List.of(RowWrite.put(ClaimRow.open(claim, expires), condition)));
+	}
+
+	// The claim may have been stored: a read by attempt id decides.
+	private Optional<StoredAnswer> settleLostReply(Claim claim) {
+		try {
+			Optional<Row> row = this.store.get(claim.partition(), claim.sort());
+			if (row.isEmpty()) {
+				return refuse(claim);
+			}
+			if (ClaimRow.attempt(row.get()).equals(claim.attemptId())) {
+				return Optional.empty();
+			}
+			return ClaimRow.answer(row.get(), claim);
+		}
+		catch (StoreException ex) {
+			return refuse(claim);
+		}
+	}
+
+	private Optional<StoredAnswer> takeOverOrAnswer(Claim claim) {
+		Optional<Row> row = this.store.get(claim.partition(), claim.sort());
+		if (row.isEmpty()) {
+			// The former claim was released in between; the caller may send again.
+			return refuse(claim);
+		}
+		String holder = ClaimRow.attempt(row.get());
+		if (holder.equals(claim.attemptId())) {
+			return Optional.empty();
+		}
+		if (!ExpiringRows.isExpired(row.get(), this.time.epochMillis())) {
+			return ClaimRow.answer(row.get(), claim);
+		}
+		if (put(claim, ClaimRow.ownedBy(holder))) {
+			return Optional.empty();
+		}
+		throw new RouterException(ErrorType.CLAIM_IN_PROGRESS);
+	}
+
+	private Optional<StoredAnswer> refuse(Claim claim) {
+		this.repairs.add(ClaimRow.release(claim), this.time.nanos());
+		throw new RouterException(ErrorType.CLAIM_UNAVAILABLE);
+	}
+
+	/**
+	 * Records that the claimed request ran.
+	 * @param claim the claim
+	 * @param answer the answer to give to re-sends, or {@code null} if it is not kept
+	 */
+	public void record(Claim claim, @Nullable StoredAnswer answer) {
+		finish(ClaimRow.outcome(claim, answer, this.time.epochMillis() + TERM_MILLIS));
+	}
+
+	/**
+	 * Removes a claim whose request has not run.
+	 * @param claim the claim
+	 */
+	public void release(Claim claim) {
+		finish(ClaimRow.release(claim));
+	}
+
+	private void finish(RowWrite write) {
+		try {
+			this.store.write(List.of(write));
+		}
+		catch (StoreException ex) {
+			this.repairs.add(write, this.time.nanos());
+		}
+	}
+
+}
--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/request/ServiceProxy.java
@@ -0,0 +1,326 @@
+package org.skylarkstack.request;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Objects;
+import java.util.Set;
+
+import okhttp3.Call;
+import okhttp3.HttpUrl;
+import okhttp3.MediaType;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import okio.BufferedSink;
+import org.jspecify.annotations.Nullable;
+import org.skylarkstack.configuration.BackendServer;
+import org.skylarkstack.configuration.BackendService;
+import org.skylarkstack.configuration.ConfigurationHolder;
+import org.skylarkstack.configuration.ObjectKind;
+import org.skylarkstack.engine.BackendClients;
+import org.skylarkstack.engine.SendTracker;
+import org.skylarkstack.kernel.Cancellation;
+import org.skylarkstack.kernel.ErrorType;
+import org.skylarkstack.kernel.RouterException;
+import org.skylarkstack.kernel.Verdict;
+import org.skylarkstack.misc.TimeSource;
+
+/**
+ * Passes requests to plain services and their answers back.
+ *
+ * <p>
+ * A non-idempotent request goes on a new connection, is not sent again once a byte may
+ * have left, and is not broken off when its caller goes: its outcome is worth more than
+ * the work saved.
+ */
+public final class ServiceProxy {
+
+	private static final int BUFFER_BYTES = 16 * 1024;
+
+	private static final Set<String> METHODS_WITH_BODY = Set.of("POST", "PUT", "PATCH");
+
+	private static final Set<String> METHODS_WITHOUT_BODY = Set.of("GET", "HEAD");
+
+	private final ConfigurationHolder configuration;
+
+	private final BackendClients clients;
+
+	private final ServiceTargets targets;
+
+	private final RetryBudget retryBudget;
+
+	private final RetryPolicy retryPolicy;
+
+	private final int idleMillis;
+
+	private final TimeSource time;
+
+	/**
+	 * Creates a proxy.
+	 * @param configuration names the services
+	 * @param clients the connections to backend servers
+	 * @param targets picks backend servers
+	 * @param retryBudget counts requests
+	 * @param retryPolicy decides about further attempts
+	 * @param idleMillis the idle bound in milliseconds
+	 * @param time the time source
+	 */
+	public ServiceProxy(ConfigurationHolder configuration, BackendClients clients, ServiceTargets targets,
+			RetryBudget retryBudget, RetryPolicy retryPolicy, int idleMillis, TimeSource time) {
+		this.configuration = configuration;
+		this.clients = clients;
+		this.targets = targets;
+		this.retryBudget = retryBudget;
+		this.retryPolicy = retryPolicy;
+		this.idleMillis = idleMillis;
+		this.time = time;
+	}
+
+	/**
+	 * Runs a request.
+	 * @param request the request
+	 * @param claimed the claim to record the outcome with, or {@code null}
+	 * @param answer receives the answer
+	 * @throws RouterException if the request is refused or fails; after the answer has
+	 * begun the caller must not take it for whole
+	 * @throws CallerGoneException if the caller could not be written to
+	 */
+	public void run(ServiceRequest request, @Nullable ClaimedRun claimed, ServiceAnswer answer) {
+		if (METHODS_WITHOUT_BODY.contains(request.method()) && request.body().length > 0) {
+			throw new RouterException(ErrorType.BAD_REQUEST, request.method() + " requests have no body");
+		}
+		this.retryBudget.recordRequest(this.time.nanos());
+		Set<String> tried = new HashSet<>();
+		Verdict verdict = Verdict.NOT_RUN;
+		for (int attempts = 1;; attempts++) {
+			Attempt attempt = new Attempt(request, claimed, answer);
+			try {
+				attempt.run(tried);
+				return;
+			}
+			catch (RouterException ex) {
+				verdict = verdict.stronger(ex.verdict());
+				if (attempt.begun || request.cancellation().reason() != null || !this.retryPolicy.permits(ex, verdict,
+						attempts, request.idempotent(), 0, this.time.nanos())) {
+					throw ex.after(verdict);
+				}
+				if (!hasUntried(request, tried)) {
+					// A single server gets the request again, on a new connection.
+					tried.clear();
+				}
+			}
+		}
+	}
+
+	private boolean hasUntried(ServiceRequest request, Set<String> tried) {
+		return servers(request).stream().anyMatch((server) -> !server.leaving() && !tried.contains(server.url()));
+	}
+
+	private List<BackendServer> servers(ServiceRequest request) {
+		return this.configuration.current()
+			.find(BackendService.class, ObjectKind.SERVICE, request.route().serviceId())
+			.map(BackendService::servers)
+			.orElse(List.of());
+	}
+
+	private static HttpUrl url(BackendServer server, String target) {
+		HttpUrl url = HttpUrl.parse(server.url() + target);
+		int query = target.indexOf('?');
+		String path = (query >= 0) ? target.substring(0, query) : target;
+		if (url == null || !url.encodedPath().endsWith(path)) {
+			// A path that the client would rewrite could leave the route's prefix.
+			throw new RouterException(ErrorType.BAD_REQUEST, "the path is not in its normal form");
+		}
+		return url;
+	}
+
+	/**
+	 * One attempt on one backend server.
+	 */
+	private final class Attempt {
+
+		private final ServiceRequest request;
+
+		private final @Nullable ClaimedRun claimed;
+
+		private final ServiceAnswer answer;
+
+		private final SendTracker tracker = new SendTracker();
+
+		private boolean begun;
+
+		Attempt(ServiceRequest request, @Nullable ClaimedRun claimed, ServiceAnswer answer) {
+			this.request = request;
+			this.claimed = claimed;
+			this.answer = answer;
+		}
+
+		void run(Set<String> tried) {
+			this.request.cancellation().check(Verdict.NOT_RUN);
+			BackendServer server = ServiceProxy.this.targets
+				.pick(servers(this.request), tried, ServiceProxy.this.time.nanos())
+				.orElseThrow(() -> new RouterException(ErrorType.NO_ENGINE, this.request.route().serviceId()));
+			tried.add(server.url());
+			boolean failed = false;
+			try {
+				send(server);
+			}
+			catch (RouterException ex) {
+				failed = this.request.cancellation().reason() == null && ex.type() != ErrorType.BAD_REQUEST;
+				throw ex;
+			}
+			finally {
+				ServiceProxy.this.targets.release(server, failed, ServiceProxy.this.time.nanos());
+			}
+		}
+
+		private void send(BackendServer server) {
+			int idle = ServiceProxy.this.idleMillis;
+			OkHttpClient client = this.request.idempotent() ? ServiceProxy.this.clients.pooled(server.url(), idle)
+					: ServiceProxy.this.clients.fresh(idle);
+			Call call = client.newCall(httpRequest(server));
+			Cancellation watched = this.request.idempotent() ? this.request.cancellation() : new Cancellation();
+			try (Cancellation.Registration registration = watched.onCancel(call::cancel);
+					Response response = call.execute()) {
+				relay(response);
+			}
+			catch (IOException ex) {
+				watched.check(this.tracker.verdict());
+				RouterException failure = this.tracker.translate(server.url(), idle, ex);
+				ServiceProxy.this.clients.suspect(server.url());
+				throw failure;
+			}
+		}
+
+		private Request httpRequest(BackendServer server) {
+			Request.Builder builder = new Request.Builder().url(url(server, this.request.target()))
+				.tag(SendTracker.class, this.tracker);
+			String contentType = null;
+			for (Header header : this.request.headers()) {
+				if ("content-type".equalsIgnoreCase(header.name())) {
+					contentType = header.value();
+				}
+				builder.addHeader(header.name(), header.value());
+			}
+			if (this.request.headers().stream().noneMatch((h) -> "accept-encoding".equalsIgnoreCase(h.name()))) {
+				// Without it the client would ask for gzip and change the answer's
+				// headers.
+				builder.header("Accept-Encoding", "identity");
+			}
+			if (!this.request.idempotent()) {
+				builder.header("Connection", "close");
+			}
+			boolean hasBody = this.request.body().length > 0 || METHODS_WITH_BODY.contains(this.request.method());
+			return builder
+				.method(this.request.method(), hasBody ? new OneShotBody(this.request.body(), contentType) : null)
+				.build();
+		}
+
+		private void relay(Response response) throws IOException {
+			InputStream body = response.body().byteStream();
+			ByteArrayOutputStream kept = (this.claimed != null) ? readKept(response, body) : null;
+			List<Header> headers = new ArrayList<>();
+			response.headers().forEach((pair) -> headers.add(new Header(pair.getFirst(), pair.getSecond())));
+			String retryAfter = BackendClients.retryAfter(response);
+			List<Header> passed = new ArrayList<>(HeaderFilter.towardsCaller(headers));
+			if (retryAfter != null) {
+				passed.add(new Header("Retry-After", retryAfter));
+			}
+			this.begun = true;
+			this.answer.begin(response.code(), passed, response.body().contentLength());
+			try {
+				if (kept != null) {
+					this.answer.write(kept.toByteArray(), kept.size());
+				}
+			}
+			catch (IOException ex) {
+				throw new CallerGoneException(ex);
+			}
+			byte[] buffer = new byte[BUFFER_BYTES];
+			for (int length = body.read(buffer); length >= 0; length = body.read(buffer)) {
+				pass(buffer, length);
+			}
+		}
+
+		private void pass(byte[] buffer, int length) {
+			try {
+				this.answer.write(buffer, length);
+			}
+			catch (IOException ex) {
+				throw new CallerGoneException(ex);
+			}
+		}
+
+		// Reads what may be kept and records the outcome before the caller hears.
+		private ByteArrayOutputStream readKept(Response response, InputStream body) throws IOException {
+			ByteArrayOutputStream kept = new ByteArrayOutputStream();
+			ClaimedRun run = Objects.requireNonNull(this.claimed);
+			byte[] buffer = new byte[BUFFER_BYTES];
+			try {
+				int length = 0;
+				while (kept.size() <= StoredAnswer.MAX_BODY_BYTES && length >= 0) {
+					kept.write(buffer, 0, length);
+					length = body.read(buffer);
+				}
+				if (length >= 0) {
+					kept.write(buffer, 0, length);
+				}
+			}
+			catch (IOException ex) {
+				// The status shows that the request ran, although its answer is lost.
+				run.ran(null);
+				throw ex;
+			}
+			boolean keeps = kept.size() <= StoredAnswer.MAX_BODY_BYTES;
+			run.ran(keeps ? new StoredAnswer(response.code(), contentType(response), kept.toByteArray()) : null);
+			return kept;
+		}
+
+		private String contentType(Response response) {
+			return Objects.requireNonNullElse(response.header("Content-Type"), "");
+		}
+
+	}
+
+	/**
+	 * Body that the client must not send twice.
+	 */
+	private static final class OneShotBody extends RequestBody {
+
+		private final byte[] bytes;
+
+		private final @Nullable MediaType mediaType;
+
+		OneShotBody(byte[] bytes, @Nullable String contentType) {
+			this.bytes = bytes;
+			this.mediaType = (contentType != null) ? MediaType.parse(contentType) : null;
+		}
+
+		@Override
+		public @Nullable MediaType contentType() {
+			return this.mediaType;
+		}
+
+		@Override
+		public long contentLength() {
+			return this.bytes.length;
+		}
+
+		@Override
+		public boolean isOneShot() {
+			return true;
+		}
+
+		@Override
+		public void writeTo(BufferedSink sink) throws IOException {
+			sink.write(this.bytes);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/request/StoredAnswer.java
@@ -0,0 +1,28 @@
+package org.skylarkstack.request;
+
+/**
+ * Answer kept with an idempotency claim.
+ *
+ * @param status the HTTP status
+ * @param contentType the content type, or an empty string
+ * @param body the body
+ */
+public record StoredAnswer(int status, String contentType, byte[] body) {
+
+	/**
+	 * Largest body that is kept, in bytes. Rows of the table service hold 400 KB, and the
+	 * body is stored as Base64.
+	 */
+	public static final int MAX_BODY_BYTES = 200 * 1024;
+
+	/** Copies the body. */
+	public StoredAnswer {
+		body = body.clone();
+	}
+
+	@Override
+	public byte[] body() {
+		return this.body.clone();
+	}
+
+}
--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/request/SuspectRuns.java
@@ -0,0 +1,101 @@
+package org.skylarkstack.request;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import com.github.benmanes.caffeine.cache.Cache;
+import com.github.benmanes.caffeine.cache.Caffeine;
+import org.skylarkstack.store.Row;
+import org.skylarkstack.store.RowCondition;
+import org.skylarkstack.store.RowWrite;
+import org.skylarkstack.store.StoreException;
+import org.skylarkstack.store.TableStore;
+
+/**
+ * Gives out the right to the one further run of a crash suspect. A conditional write
+ * decides between VMs. While the store is down only the VM that saw the crash may run the
+ * request again, once; without that exception an engine crash during an outage would end
+ * all requests that ran on it.
+ */
+public final class SuspectRuns {
+
+	/** Partition of the rows. */
+	public static final String PARTITION = "crash-suspect";
+
+	private static final String ATTEMPT = "attempt";
+
+	private static final int MAX_SEEN = 4_096;
+
+	private final TableStore store;
+
+	private final long termMillis;
+
+	private final Cache<String, Boolean> seenHere = Caffeine.newBuilder().maximumSize(MAX_SEEN).build();
+
+	/**
+	 * Creates the rights.
+	 * @param store the platform's table
+	 * @param termMillis how long a request stays a suspect in milliseconds
+	 */
+	public SuspectRuns(TableStore store, long termMillis) {
+		this.store = store;
+		this.termMillis = termMillis;
+	}
+
+	/**
+	 * Notes that this VM saw a suspect's first crash.
+	 * @param fingerprint the hash of team and body
+	 */
+	public void seen(String fingerprint) {
+		this.seenHere.put(fingerprint, true);
+	}
+
+	/**
+	 * Takes the right to run a suspect once more.
+	 * @param fingerprint the hash of team and body
+	 * @param attemptId the attempt that asks
+	 * @param epochMillis the wall-clock time
+	 * @return whether the attempt may run
+	 */
+	public boolean take(String fingerprint, String attemptId, long epochMillis) {
+		boolean witness = this.seenHere.asMap().remove(fingerprint) != null;
+		Row row = new Row(PARTITION, fingerprint,
+				Map.of(ATTEMPT, attemptId, ExpiringRows.EXPIRES, Long.toString(epochMillis + this.termMillis)));
+		try {
+			if (this.store.write(List.of(RowWrite.put(row, RowCondition.ABSENT)))) {
+				return true;
+			}
+			return replaceExpired(row, epochMillis);
+		}
+		catch (StoreException ex) {
+			return witness;
+		}
+	}
+
+	private boolean replaceExpired(Row row, long epochMillis) {
+		Optional<Row> former = this.store.get(PARTITION, row.sort());
+		if (former.isEmpty() || !ExpiringRows.isExpired(former.get(), epochMillis)) {
+			return false;
+		}
+		String attempt = former.get().attributes().getOrDefault(ATTEMPT, "");
+		return this.store.write(List.of(RowWrite.put(row, RowCondition.attributeEquals(ATTEMPT, attempt))));
+	}
+
+	/**
+	 * Gives the right back because the request ran to its end.
+	 * @param fingerprint the hash of team and body
+	 * @param attemptId the attempt that took the right
+	 */
+	public void clear(String fingerprint, String attemptId) {
+		this.seenHere.invalidate(fingerprint);
+		try {
+			this.store.write(List.of(RowWrite.delete(new Row(PARTITION, fingerprint, Map.of()),
+					RowCondition.attributeEquals(ATTEMPT, attemptId))));
+		}
+		catch (StoreException ex) {
+			// The row expires by itself.
+		}
+	}
+
+}
--- a/tool/src/main/java/org/skylarkstack/tool/DaemonCommand.java
+++ b/tool/src/main/java/org/skylarkstack/tool/DaemonCommand.java
@@ -30,7 +30,7 @@
 		CountDownLatch stopped = new CountDownLatch(1);
 		try (Daemon daemon = Daemon.start(settings)) {
 			Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-				daemon.close();
+				daemon.shutDown();
 				stopped.countDown();
 			}, "shutdown"));
 			stopped.await();
