--- a/daemon/src/main/java/org/skylarkstack/daemon/DaemonModule.java
+++ b/daemon/src/main/java/org/skylarkstack/daemon/DaemonModule.java
@@ -33,6 +33,7 @@
 import org.skylarkstack.request.CrashSuspects;
 import org.skylarkstack.request.DeadIncarnations;
 import org.skylarkstack.request.EngineCanceller;
+import org.skylarkstack.request.EngineQuarantine;
 import org.skylarkstack.request.ExpiringRows;
 import org.skylarkstack.request.HeldMemorySweeper;
 import org.skylarkstack.request.IdempotencyClaims;
@@ -179,9 +180,10 @@
 	static RequestParts requestParts(DaemonSettings settings, RequestIds ids, ConfigurationHolder configuration,
 			TeamLimiter limiter, Placer placer, EngineClient engines, EngineCanceller canceller,
 			RetryBudget retryBudget, CrashSuspects suspects, CrashReporter crashReporter, TableStore store) {
-		return new RequestParts(settings.vmId(), ids, configuration, limiter, placer, engines, canceller, retryBudget,
-				new RetryPolicy(retryBudget), suspects, new SuspectRuns(store, SUSPECT_TERM.toMillis()), crashReporter,
-				new RequestCounters(), TimeSource.system());
+		return new RequestParts(settings.vmId(), ids, configuration, limiter, placer, engines, canceller,
+				new EngineQuarantine(), retryBudget, new RetryPolicy(retryBudget), suspects,
+				new SuspectRuns(store, SUSPECT_TERM.toMillis()), crashReporter, new RequestCounters(),
+				TimeSource.system());
 	}
 
 	@Provides
--- a/runtime/src/main/java/org/skylarkstack/engine/BackendClients.java
+++ b/runtime/src/main/java/org/skylarkstack/engine/BackendClients.java
@@ -16,9 +16,9 @@
  * HTTP clients for backend servers, with one connection pool for each server.
  *
  * <p>
- * When one connection to a server went silent, its pooled neighbours are suspects too:
- * the server gets a new, empty pool. Calls under way end on the old pool, which is never
- * used again.
+ * When one connection to a server went silent or broke, its pooled neighbours are
+ * suspects too: the server gets a new, empty pool. Calls under way end on the old pool,
+ * which is never used again.
  */
 public final class BackendClients {
 
@@ -81,7 +81,8 @@
 	}
 
 	/**
-	 * Drops the idle connections to a server because one of its connections went silent.
+	 * Drops the idle connections to a server because one of its connections went silent
+	 * or broke.
 	 * @param server the server's base URL
 	 */
 	public void suspect(String server) {
--- a/runtime/src/main/java/org/skylarkstack/engine/HttpEngineClient.java
+++ b/runtime/src/main/java/org/skylarkstack/engine/HttpEngineClient.java
@@ -247,7 +247,7 @@
 		RouterException failure(IOException cause) {
 			this.engineCall.cancellation().check(this.tracker.verdict());
 			RouterException failure = this.tracker.translate(this.engine.id(), this.boundMillis, cause);
-			if (failure.type() == ErrorType.BACKEND_TIMEOUT) {
+			if (failure.verdict() != Verdict.NOT_RUN) {
 				HttpEngineClient.this.clients.suspect(this.engine.url());
 			}
 			return failure;
--- a/runtime/src/main/java/org/skylarkstack/http/EventStreamWriter.java
+++ b/runtime/src/main/java/org/skylarkstack/http/EventStreamWriter.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 
 import io.javalin.http.Context;
+import jakarta.servlet.http.HttpServletResponse;
 import org.jspecify.annotations.Nullable;
 import org.skylarkstack.kernel.RouterException;
 import org.skylarkstack.kernel.Verdict;
@@ -56,12 +57,13 @@
 		try {
 			if (!this.started) {
 				this.started = true;
-				this.context.status(OK)
-					.contentType(CONTENT_TYPE)
-					.header("Cache-Control", "no-cache")
-					.header(ErrorAnswer.VERDICT, Verdict.RAN.headerValue());
+				HttpServletResponse response = this.context.res();
+				response.setStatus(OK);
+				response.setContentType(CONTENT_TYPE);
+				response.setHeader("Cache-Control", "no-cache");
+				response.setHeader(ErrorAnswer.VERDICT, Verdict.RAN.headerValue());
 			}
-			OutputStream output = this.context.outputStream();
+			OutputStream output = this.context.res().getOutputStream();
 			output.write(DATA);
 			output.write(bytes);
 			output.write(END_OF_EVENT);
--- a/runtime/src/main/java/org/skylarkstack/request/CompletionRun.java
+++ b/runtime/src/main/java/org/skylarkstack/request/CompletionRun.java
@@ -183,8 +183,12 @@
 	}
 
 	private boolean usesFailedEngine(Placement placement) {
-		return this.failedEngines.contains(placement.decodeEngineId())
-				|| (this.prefill == null && this.failedEngines.contains(placement.prefillEngineId()));
+		return avoids(placement.decodeEngineId()) || (this.prefill == null && avoids(placement.prefillEngineId()));
+	}
+
+	private boolean avoids(String engineId) {
+		return this.failedEngines.contains(engineId)
+				|| this.parts.quarantine().contains(engineId, this.parts.time().nanos());
 	}
 
 	private Placement placeOnce(String placementId, boolean isolated) {
@@ -282,6 +286,9 @@
 				&& failure.type() != ErrorType.BAD_REQUEST) {
 			this.failedEngine = engineId;
 			this.failedEngines.add(engineId);
+			if (failure.type() == ErrorType.BACKEND_UNREACHABLE || failure.type() == ErrorType.BACKEND_TIMEOUT) {
+				this.parts.quarantine().failed(engineId, this.parts.time().nanos());
+			}
 			PrefillHold hold = this.prefill;
 			if (hold != null && hold.engineId().equals(engineId)) {
 				releasePrefill();
@@ -304,6 +311,7 @@
 				|| isAlive(engine(this.failedEngine))) {
 			return;
 		}
+		this.parts.quarantine().failed(this.failedEngine, this.parts.time().nanos());
 		this.parts.suspectRuns().seen(this.fingerprint);
 		this.parts.crashReporter()
 			.report(this.fingerprint, RequestIds.attempt(this.requestId, this.attempts), this.failedEngine,
--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/request/EngineQuarantine.java
@@ -0,0 +1,34 @@
+package org.skylarkstack.request;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Engines that this VM lately could not reach or that went silent. Placements on them are
+ * avoided for a short time, so that a dead engine costs one retry and not one for each
+ * request. Thread-safe; its size is bounded by the number of engines.
+ */
+public final class EngineQuarantine {
+
+	// Load reports need about as long to show that an engine is gone.
+	private static final long TERM_NANOS = 3_000_000_000L;
+
+	private final Map<String, Long> ends = new HashMap<>();
+
+	synchronized void failed(String engineId, long nowNanos) {
+		this.ends.put(engineId, nowNanos + TERM_NANOS);
+	}
+
+	synchronized boolean contains(String engineId, long nowNanos) {
+		Long end = this.ends.get(engineId);
+		if (end == null) {
+			return false;
+		}
+		if (nowNanos - end >= 0) {
+			this.ends.remove(engineId);
+			return false;
+		}
+		return true;
+	}
+
+}
--- a/runtime/src/main/java/org/skylarkstack/request/PendingCancels.java
+++ b/runtime/src/main/java/org/skylarkstack/request/PendingCancels.java
@@ -43,7 +43,10 @@
 	// Returns the requests to cancel on an engine now and forgets those whose term has
 	// passed. The sweeper frees what remains.
 	List<String> due(String engineId, long nowNanos) {
-		Map<String, Long> entries = this.expiryByEngine.getOrDefault(engineId, Map.of());
+		Map<String, Long> entries = this.expiryByEngine.get(engineId);
+		if (entries == null) {
+			return List.of();
+		}
 		int before = entries.size();
 		entries.values().removeIf((expiry) -> nowNanos - expiry >= 0);
 		this.abandoned += before - entries.size();
@@ -54,7 +57,10 @@
 
 	// Forgets the cancelled requests that the engine does not hold.
 	void confirm(String engineId, List<String> cancelled, Set<String> held) {
-		Map<String, Long> entries = this.expiryByEngine.getOrDefault(engineId, Map.of());
+		Map<String, Long> entries = this.expiryByEngine.get(engineId);
+		if (entries == null) {
+			return;
+		}
 		for (String requestId : cancelled) {
 			if (!held.contains(requestId) && entries.remove(requestId) != null) {
 				this.size--;
--- a/runtime/src/main/java/org/skylarkstack/request/RequestParts.java
+++ b/runtime/src/main/java/org/skylarkstack/request/RequestParts.java
@@ -16,6 +16,7 @@
  * @param placer finds engines
  * @param engines calls engines
  * @param canceller cancels on engines in the background
+ * @param quarantine the engines to avoid for a short time
  * @param retryBudget counts requests
  * @param retryPolicy decides about further attempts
  * @param suspects the crash suspects
@@ -25,8 +26,8 @@
  * @param time the time source
  */
 public record RequestParts(String vmId, RequestIds ids, ConfigurationHolder configuration, TeamLimiter limiter,
-		Placer placer, EngineClient engines, EngineCanceller canceller, RetryBudget retryBudget,
-		RetryPolicy retryPolicy, CrashSuspects suspects, SuspectRuns suspectRuns, CrashReporter crashReporter,
-		RequestCounters counters, TimeSource time) {
+		Placer placer, EngineClient engines, EngineCanceller canceller, EngineQuarantine quarantine,
+		RetryBudget retryBudget, RetryPolicy retryPolicy, CrashSuspects suspects, SuspectRuns suspectRuns,
+		CrashReporter crashReporter, RequestCounters counters, TimeSource time) {
 
 }
--- /dev/null
+++ b/runtime/src/test/java/org/skylarkstack/engine/HttpEngineClientTests.java
@@ -0,0 +1,225 @@
+package org.skylarkstack.engine;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import mockwebserver3.MockResponse;
+import mockwebserver3.MockWebServer;
+import mockwebserver3.SocketEffect;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.skylarkstack.configuration.EngineNode;
+import org.skylarkstack.configuration.EngineRole;
+import org.skylarkstack.kernel.CancelReason;
+import org.skylarkstack.kernel.Cancellation;
+import org.skylarkstack.kernel.ErrorType;
+import org.skylarkstack.kernel.RouterException;
+import org.skylarkstack.kernel.Thrown;
+import org.skylarkstack.kernel.Verdict;
+import org.skylarkstack.settings.BackendTimeouts;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class HttpEngineClientTests {
+
+	private static final String ID = "vm-0.1.7.2";
+
+	private final MockWebServer server = new MockWebServer();
+
+	private final BackendTimeouts timeouts = new BackendTimeouts(500, 300, 300, 300, 300, 1_000, 0);
+
+	private final HttpEngineClient client = new HttpEngineClient(new BackendClients(500), this.timeouts);
+
+	private final Cancellation cancellation = new Cancellation();
+
+	@BeforeEach
+	void start() throws Exception {
+		this.server.start();
+	}
+
+	@AfterEach
+	void stop() {
+		this.server.close();
+	}
+
+	private EngineNode engine() {
+		String url = "http://127.0.0.1:" + this.server.getPort();
+		return new EngineNode("e1", url, "dc", "model", EngineRole.BOTH, 1, 1, 1, true, false);
+	}
+
+	private EngineCall call() {
+		return new EngineCall(ID, "vm-0.1", "/v1/completions",
+				JsonNodeFactory.instance.objectNode().put("max_completion_tokens", 9), this.cancellation);
+	}
+
+	private DecodeStream decode() {
+		return this.client.decode(engine(), call(), new PrefillResult(JsonNodeFactory.instance.objectNode(), 1), 2);
+	}
+
+	private static MockResponse.Builder answer() {
+		return new MockResponse.Builder().setHeader("X-Request-Id", ID);
+	}
+
+	private static String event(int offset, String id) {
+		return "id: " + offset + "\ndata: {\"id\":\"cmpl-" + id + "\"}\n\n";
+	}
+
+	private RouterException streamFailure(List<DecodeEvent> events) {
+		return Thrown.by(RouterException.class, () -> {
+			try (DecodeStream stream = decode()) {
+				for (DecodeEvent event = stream.next(); event != null; event = stream.next()) {
+					events.add(event);
+				}
+			}
+		});
+	}
+
+	// Guards against events of another request or attempt that reach this caller.
+	@Test
+	void crossedEventsAreDroppedAndCounted() {
+		this.server.enqueue(answer()
+			.body(event(3, ID) + event(4, "vm-0.1.7.1") + event(4, "vm-0.1.17.2") + event(4, ID) + "data: [DONE]\n\n")
+			.build());
+		List<DecodeEvent> events = new ArrayList<>();
+		try (DecodeStream stream = decode()) {
+			for (DecodeEvent event = stream.next(); event != null; event = stream.next()) {
+				events.add(event);
+			}
+		}
+		assertThat(events)
+			.containsExactly(new DecodeEvent(3, "{\"id\":\"cmpl-vm-0.1.7\"}"),
+					new DecodeEvent(4, "{\"id\":\"cmpl-vm-0.1.7\"}"))
+			.inOrder();
+		assertThat(this.client.crossedAnswers()).isEqualTo(2);
+	}
+
+	// Guards against the answer of another attempt that is taken for this one's.
+	@Test
+	void crossedAnswerIsRefused() {
+		this.server.enqueue(new MockResponse.Builder().setHeader("X-Request-Id", "vm-0.1.7.1").body("{}").build());
+		assertThat(Thrown.by(RouterException.class, () -> this.client.prefill(engine(), call())).verdict())
+			.isEqualTo(Verdict.MAY_HAVE_RUN);
+		assertThat(this.client.crossedAnswers()).isEqualTo(1);
+	}
+
+	// Guards against a truncated stream that looks finished.
+	@Test
+	void truncatedStreamIsAFailure() {
+		this.server.enqueue(answer().body(event(3, ID)).build());
+		List<DecodeEvent> events = new ArrayList<>();
+		assertThat(streamFailure(events).type()).isEqualTo(ErrorType.BACKEND_FAILED);
+		assertThat(events).hasSize(1);
+	}
+
+	// Guards against an engine's error event that is passed on as a part of the answer.
+	@Test
+	void errorEventIsAFailure() {
+		this.server.enqueue(answer().body("data: {\"error\":{}}\n\ndata: [DONE]\n\n").build());
+		assertThat(streamFailure(new ArrayList<>()).type()).isEqualTo(ErrorType.BACKEND_FAILED);
+	}
+
+	// Guards against waiting forever on a connection that went silent, before the headers
+	// and between two tokens, also when only comments arrive.
+	@Test
+	void silentStreamEndsAtItsIdleBound() {
+		this.server.enqueue(answer().onResponseStart(SocketEffect.Stall.INSTANCE).build());
+		assertThat(streamFailure(new ArrayList<>()).type()).isEqualTo(ErrorType.BACKEND_TIMEOUT);
+		this.server.enqueue(answer().body(event(3, ID) + ": still here\n\n".repeat(1_000))
+			.throttleBody(64, 50, java.util.concurrent.TimeUnit.MILLISECONDS)
+			.build());
+		List<DecodeEvent> events = new ArrayList<>();
+		assertThat(streamFailure(events).type()).isEqualTo(ErrorType.BACKEND_TIMEOUT);
+		assertThat(events).hasSize(1);
+	}
+
+	// Guards against a prefill that waits forever.
+	@Test
+	void silentPrefillEndsAtItsIdleBound() {
+		this.server.enqueue(answer().onResponseStart(SocketEffect.Stall.INSTANCE).build());
+		RouterException failure = Thrown.by(RouterException.class, () -> this.client.prefill(engine(), call()));
+		assertThat(failure.type()).isEqualTo(ErrorType.BACKEND_TIMEOUT);
+		assertThat(failure.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+	}
+
+	// Guards against "may have run" for a request that never left.
+	@Test
+	void refusedConnectionAndFullEngineMeanNotRun() {
+		this.server.enqueue(answer().code(429).build());
+		assertThat(Thrown.by(RouterException.class, this::decode).verdict()).isEqualTo(Verdict.NOT_RUN);
+		EngineNode gone = engine();
+		this.server.close();
+		HttpEngineClient unconnected = new HttpEngineClient(new BackendClients(500), this.timeouts);
+		RouterException failure = Thrown.by(RouterException.class, () -> unconnected.prefill(gone, call()));
+		assertThat(failure.type()).isEqualTo(ErrorType.BACKEND_UNREACHABLE);
+		assertThat(failure.verdict()).isEqualTo(Verdict.NOT_RUN);
+	}
+
+	// Guards against OkHttp's own repetition, which would run a request twice.
+	@Test
+	void refusalWithRetryAfterZeroIsSentOnce() {
+		this.server.enqueue(answer().code(503).setHeader("Retry-After", "0").build());
+		this.server.enqueue(answer().code(503).build());
+		Thrown.by(RouterException.class, this::decode);
+		assertThat(this.server.getRequestCount()).isEqualTo(1);
+	}
+
+	// Guards against a prefill that produces output or ignores the resume offset.
+	@Test
+	void prefillIsBoundedAndDecodeNamesItsOffset() throws Exception {
+		this.server
+			.enqueue(answer().body("{\"kv_transfer_params\":{\"a\":1},\"usage\":{\"prompt_tokens\":5}}").build());
+		this.server.enqueue(answer().body("data: [DONE]\n\n").build());
+		PrefillResult result = this.client.prefill(engine(), call());
+		assertThat(result.promptTokens()).isEqualTo(5);
+		String body = String.valueOf(this.server.takeRequest().getBody());
+		assertThat(body).contains("max_tokens");
+		assertThat(body).doesNotContain("max_completion_tokens");
+		try (DecodeStream stream = decode()) {
+			assertThat(stream.next()).isNull();
+		}
+		assertThat(this.server.takeRequest().getHeaders().get("Last-Event-ID")).isEqualTo("2");
+	}
+
+	// Guards against a thread that stays blocked in a call of a cancelled request.
+	@Test
+	void cancellationEndsAWaitingCall() throws Exception {
+		HttpEngineClient patient = new HttpEngineClient(new BackendClients(500),
+				new BackendTimeouts(500, 60_000, 60_000, 60_000, 60_000, 0, 0));
+		this.server.enqueue(answer().onResponseStart(SocketEffect.Stall.INSTANCE).build());
+		CountDownLatch received = new CountDownLatch(1);
+		Thread canceller = new Thread(() -> {
+			try {
+				this.server.takeRequest();
+				received.countDown();
+				this.cancellation.cancel(CancelReason.CALLER_GONE);
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+			}
+		});
+		canceller.start();
+		RouterException failure = Thrown.by(RouterException.class, () -> patient.prefill(engine(), call()));
+		received.await();
+		assertThat(failure.type()).isEqualTo(ErrorType.CALLER_GONE);
+		assertThat(failure.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+	}
+
+	// Guards against new calls on the idle neighbours of a connection that went silent.
+	@Test
+	void silentConnectionEmptiesThePoolOfItsServer() throws Exception {
+		String prefill = "{\"kv_transfer_params\":{\"a\":1}}";
+		this.server.enqueue(answer().body(prefill).build());
+		this.server.enqueue(answer().onResponseStart(SocketEffect.Stall.INSTANCE).build());
+		this.server.enqueue(answer().body(prefill).build());
+		this.client.prefill(engine(), call());
+		Thrown.by(RouterException.class, () -> this.client.prefill(engine(), call()));
+		this.client.prefill(engine(), call());
+		this.server.takeRequest();
+		this.server.takeRequest();
+		assertThat(this.server.takeRequest().getExchangeIndex()).isEqualTo(0);
+	}
+
+}
--- /dev/null
+++ b/runtime/src/test/java/org/skylarkstack/engine/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Tests of package engine.
+ */
+@NullMarked
+package org.skylarkstack.engine;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/runtime/src/test/java/org/skylarkstack/http/CallerApiTests.java
@@ -0,0 +1,262 @@
+package org.skylarkstack.http;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CountDownLatch;
+
+import io.javalin.Javalin;
+import mockwebserver3.MockResponse;
+import mockwebserver3.MockWebServer;
+import mockwebserver3.SocketEffect;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.skylarkstack.configuration.BackendServer;
+import org.skylarkstack.configuration.BackendService;
+import org.skylarkstack.configuration.Route;
+import org.skylarkstack.configuration.Ticket;
+import org.skylarkstack.configuration.TicketChange;
+import org.skylarkstack.engine.BackendClients;
+import org.skylarkstack.kernel.Cancellation;
+import org.skylarkstack.kernel.Verdict;
+import org.skylarkstack.misc.TimeSource;
+import org.skylarkstack.request.RequestPathFixture;
+import org.skylarkstack.request.RetryBudget;
+import org.skylarkstack.request.RetryPolicy;
+import org.skylarkstack.request.ServiceProxy;
+import org.skylarkstack.request.ServiceTargets;
+import org.skylarkstack.settings.CallerLimits;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Speaks to the API over raw sockets, as callers that misbehave do.
+ */
+class CallerApiTests {
+
+	private static final CallerLimits LIMITS = new CallerLimits(4_096, 10_000, 10, 500);
+
+	private static final String BODY = "{\"model\":\"model\",\"prompt\":\"hello\",\"stream\":true}";
+
+	private final RequestPathFixture fixture = new RequestPathFixture();
+
+	private final CallerWatch watch = new CallerWatch();
+
+	private final MockWebServer service = new MockWebServer();
+
+	private Javalin server = Javalin.create();
+
+	@BeforeEach
+	void start() throws IOException {
+		this.service.start();
+		Authenticator authenticator = new Authenticator(this.fixture.configuration());
+		TimeSource time = TimeSource.system();
+		ClaimGate claims = new ClaimGate(this.fixture.claims(), this.fixture.ids());
+		RetryBudget budget = new RetryBudget(time.nanos());
+		ServiceProxy proxy = new ServiceProxy(this.fixture.configuration(), new BackendClients(500),
+				new ServiceTargets("dc"), budget, new RetryPolicy(budget), 500, time);
+		ServiceApi services = new ServiceApi(this.fixture.configuration(), authenticator, this.fixture.openRequests(),
+				this.watch, claims, proxy, LIMITS, time);
+		CallerApi api = new CallerApi(this.fixture.configuration(), authenticator, this.fixture.pipeline(), services,
+				this.fixture.openRequests(), this.watch, claims, LIMITS, time, () -> true);
+		this.server = Javalin.create((config) -> {
+			config.startup.showJavalinBanner = false;
+			api.register(config);
+		}).start("127.0.0.1", 0);
+		BackendServer backend = new BackendServer("http://127.0.0.1:" + this.service.getPort(), "dc", false);
+		this.fixture.apply(new Ticket(2, "test",
+				List.of(TicketChange.set(new BackendService("meals", List.of(backend))),
+						TicketChange.set(new Route("meals", "/meals", Set.of("GET", "POST"), "meals", false, true)),
+						TicketChange.set(new Route("menu", "/menu", Set.of("GET"), "meals", true, false)))));
+	}
+
+	@AfterEach
+	void stop() {
+		this.server.stop();
+		this.service.close();
+		assertThat(this.fixture.openRequests().open()).isEqualTo(0);
+		assertThat(this.watch.size()).isEqualTo(0);
+		this.fixture.assertAllReleased();
+	}
+
+	private Socket send(String text) throws IOException {
+		Socket socket = new Socket("127.0.0.1", this.server.port());
+		socket.setSoTimeout(20_000);
+		socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+		return socket;
+	}
+
+	private static String head(String line, int contentLength, String... headers) {
+		StringBuilder head = new StringBuilder(line + " HTTP/1.1\r\nHost: test\r\nAuthorization: Bearer key\r\n");
+		for (String header : headers) {
+			head.append(header).append("\r\n");
+		}
+		return head + "Content-Length: " + contentLength + "\r\n\r\n";
+	}
+
+	private static String completion(String body, String... headers) {
+		return head("POST /v1/completions", body.length(), headers) + body;
+	}
+
+	/** Sends a request on a connection of its own and reads all of the answer. */
+	private String ask(String text) throws IOException {
+		try (Socket socket = send(text.replaceFirst("\r\n", "\r\nConnection: close\r\n"))) {
+			return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+		}
+	}
+
+	private static void readUntil(Socket socket, String text) throws IOException {
+		StringBuilder read = new StringBuilder();
+		InputStream input = socket.getInputStream();
+		while (read.indexOf(text) < 0) {
+			int next = input.read();
+			assertThat(next).isAtLeast(0);
+			read.append((char) next);
+		}
+	}
+
+	private void blockStreamAfter(int tokens, CountDownLatch blocked) {
+		this.fixture.onDecode(tokens, () -> {
+			Cancellation cancellation = this.fixture.lastCancellation();
+			CountDownLatch cancelled = new CountDownLatch(1);
+			cancellation.onCancel(cancelled::countDown);
+			blocked.countDown();
+			cancelled.await();
+			cancellation.check(Verdict.MAY_HAVE_RUN);
+		});
+	}
+
+	// Guards against a bad request that is not answered, or not with one clear error and
+	// its verdict.
+	@Test
+	void badInputGetsOneClearErrorAtOnce() throws IOException {
+		for (String[] each : new String[][] { { completion("{"), "400" }, { completion("[]"), "400" },
+				{ completion("{\"model\":\"model\"}"), "400" },
+				{ completion("{\"model\":\"model\",\"prompt\":\"x\",\"n\":0}"), "400" },
+				{ completion("{\"model\":\"model\",\"prompt\":\"x\",\"max_tokens\":\"9\"}"), "400" },
+				{ completion("{\"model\":\"none\",\"prompt\":\"x\"}"), "404" },
+				{ head("POST /v1/completions", 10_001), "413" }, { head("GET /nowhere", 0), "404" },
+				{ head("GET /menu", 0, "X-Long: " + "x".repeat(5_000)), "431" }, { "nonsense\r\n\r\n", "400" },
+				{ completion(BODY).replace("Bearer key", "Bearer other"), "401" },
+				{ head("GET /menu?k=key", 0), "400" } }) {
+			String answer = ask(each[0]);
+			assertThat(answer).startsWith("HTTP/1.1 " + each[1]);
+			assertThat(answer.toLowerCase(java.util.Locale.ROOT)).contains("x-skylark-verdict: not-run");
+			assertThat(answer).contains("\"error\"");
+		}
+	}
+
+	// Guards against senders that hold a place by sending slowly or not at all.
+	@Test
+	void slowSenderIsRefused() throws IOException {
+		assertThat(ask(head("POST /v1/completions", 100) + "{")).startsWith("HTTP/1.1 408");
+	}
+
+	// Guards against a chunked body without a stated length that exceeds the bound.
+	@Test
+	void chunkedBodyIsBounded() throws IOException {
+		String head = head("POST /v1/completions", 0).replace("Content-Length: 0", "Transfer-Encoding: chunked");
+		assertThat(ask(head + "2ee0\r\n" + "x".repeat(12_000) + "\r\n0\r\n\r\n")).startsWith("HTTP/1.1 413");
+	}
+
+	// Guards against a caller that is gone while nothing is written to it.
+	@Test
+	void callerThatLeavesIsNoticedBetweenTokens() throws Exception {
+		CountDownLatch blocked = new CountDownLatch(1);
+		blockStreamAfter(2, blocked);
+		try (Socket socket = send(completion(BODY))) {
+			readUntil(socket, "t2");
+			blocked.await();
+			this.watch.check();
+			assertThat(this.fixture.openRequests().open()).isEqualTo(1);
+		}
+		for (long end = System.nanoTime() + 20_000_000_000L; this.fixture.openRequests().open() > 0
+				&& System.nanoTime() < end;) {
+			this.watch.check();
+			Thread.onSpinWait();
+		}
+		assertThat(this.fixture.openRequests().open()).isEqualTo(0);
+	}
+
+	// Guards against a pipelined request that is taken for a caller that left, or that is
+	// answered with another request's answer.
+	@Test
+	void pipelinedRequestDoesNotDisturbTheOneBeforeIt() throws Exception {
+		CountDownLatch blocked = new CountDownLatch(1);
+		CountDownLatch checked = new CountDownLatch(1);
+		this.fixture.onDecode(2, () -> {
+			blocked.countDown();
+			checked.await();
+		});
+		try (Socket socket = send(completion(BODY))) {
+			blocked.await();
+			String next = head("GET /v1/models", 0, "Connection: close");
+			socket.getOutputStream().write(next.getBytes(StandardCharsets.UTF_8));
+			this.watch.check();
+			checked.countDown();
+			String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+			assertThat(answer).contains("[DONE]");
+		}
+	}
+
+	// Guards against a broken stream that looks finished.
+	@Test
+	void streamThatFailsEndsWithAnErrorEventAndNoEndMarker() throws IOException {
+		this.fixture.onDecode(2, this.fixture::withdrawKey);
+		String answer = ask(completion(BODY));
+		assertThat(answer).contains("KEY_WITHDRAWN");
+		assertThat(answer).contains("t2");
+		assertThat(answer).doesNotContain("[DONE]");
+	}
+
+	// Guards against a claimed stream whose re-send runs again or gets another answer.
+	@Test
+	void reSentKeyedStreamIsReplayed() throws IOException {
+		String request = completion(BODY, "Idempotency-Key: k1", "X-Skylark-Non-Idempotent: true");
+		String first = ask(request);
+		String second = ask(request);
+		assertThat(first).contains("[DONE]");
+		assertThat(second).contains("data: t1\n\ndata: t2\n\n");
+		assertThat(second).contains("[DONE]");
+		assertThat(this.fixture.decodes()).isEqualTo(1);
+	}
+
+	// Guards against a key or a credential that reaches a backend server.
+	@Test
+	void openRouteNeedsNoKeyAndPassesNone() throws Exception {
+		this.service.enqueue(new MockResponse.Builder().setHeader("X-Day", "monday").body("soup").build());
+		String answer = ask(head("GET /menu/today", 0));
+		assertThat(answer).contains("soup");
+		assertThat(answer).contains("X-Day: monday");
+		assertThat(this.service.takeRequest().getHeaders().get("Authorization")).isNull();
+		assertThat(ask(head("GET /meals", 0).replace("Bearer key", "Bearer other"))).startsWith("HTTP/1.1 401");
+	}
+
+	// Guards against an answer of a service that broke off and looks whole.
+	@Test
+	void brokenServiceAnswerBreaksTheConnection() throws IOException {
+		this.service.enqueue(new MockResponse.Builder().chunkedBody("x".repeat(50_000), 1_000)
+			.onResponseBody(new SocketEffect.CloseSocket())
+			.build());
+		String answer = ask(head("GET /menu", 0));
+		assertThat(answer).doesNotContain("\r\n0\r\n\r\n");
+	}
+
+	// Guards against a booking that runs again when its caller sends it again.
+	@Test
+	void keyedBookingRunsOnce() throws IOException {
+		this.service.enqueue(new MockResponse.Builder().code(201).body("visit 9").build());
+		String booking = head("POST /meals", 5, "Idempotency-Key: k2") + "lunch";
+		assertThat(ask(booking)).contains("visit 9");
+		String again = ask(booking);
+		assertThat(again).startsWith("HTTP/1.1 201");
+		assertThat(again).contains("visit 9");
+		assertThat(ask(booking.replace("lunch", "extra"))).startsWith("HTTP/1.1 422");
+		assertThat(this.service.getRequestCount()).isEqualTo(1);
+	}
+
+}
--- /dev/null
+++ b/runtime/src/test/java/org/skylarkstack/request/IdempotencyClaimsTests.java
@@ -0,0 +1,157 @@
+package org.skylarkstack.request;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+
+import org.junit.jupiter.api.Test;
+import org.skylarkstack.kernel.ErrorType;
+import org.skylarkstack.kernel.RouterException;
+import org.skylarkstack.kernel.Thrown;
+import org.skylarkstack.kernel.Verdict;
+import org.skylarkstack.store.TableStore;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards against meal entries and bookings that run twice or are lost without a word.
+ */
+class IdempotencyClaimsTests {
+
+	private final FakeTime time = new FakeTime();
+
+	private final FakeTableStore store = new FakeTableStore();
+
+	private final ClaimRepairs repairs = new ClaimRepairs(this.store);
+
+	private final IdempotencyClaims claims = new IdempotencyClaims(this.store, this.repairs, this.time);
+
+	/** The same store as another VM sees it. */
+	private final IdempotencyClaims elsewhere = new IdempotencyClaims(this.store, new ClaimRepairs(this.store),
+			this.time);
+
+	private static Claim claim(String attempt) {
+		return Claim.of("team", "key-1", "hash", attempt);
+	}
+
+	private RouterException refusal(IdempotencyClaims target, Claim claim) {
+		return Thrown.by(RouterException.class, () -> target.claim(claim));
+	}
+
+	@Test
+	void reSendThroughAnotherVmGetsTheStoredAnswer() {
+		assertThat(this.claims.claim(claim("a1"))).isEqualTo(Optional.empty());
+		this.claims.record(claim("a1"),
+				new StoredAnswer(201, "text/plain", "entry 7".getBytes(StandardCharsets.UTF_8)));
+		StoredAnswer stored = this.elsewhere.claim(claim("b1")).orElseThrow();
+		assertThat(stored.status()).isEqualTo(201);
+		assertThat(new String(stored.body(), StandardCharsets.UTF_8)).isEqualTo("entry 7");
+	}
+
+	@Test
+	void claimOfADeadDaemonStaysAndSaysThatItMayHaveRun() {
+		this.claims.claim(claim("a1"));
+		RouterException refusal = refusal(this.elsewhere, claim("b1"));
+		assertThat(refusal.type()).isEqualTo(ErrorType.CLAIM_IN_PROGRESS);
+		assertThat(refusal.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+	}
+
+	@Test
+	void answerThatWasNotKeptIsNotRunAgain() {
+		this.claims.claim(claim("a1"));
+		this.claims.record(claim("a1"), null);
+		assertThat(refusal(this.elsewhere, claim("b1")).type()).isEqualTo(ErrorType.ANSWER_NOT_KEPT);
+	}
+
+	@Test
+	void keyWithAnotherBodyIsRefused() {
+		this.claims.claim(claim("a1"));
+		assertThat(refusal(this.claims, Claim.of("team", "key-1", "other", "a2")).type())
+			.isEqualTo(ErrorType.CLAIM_MISMATCH);
+	}
+
+	@Test
+	void teamsNeverShareClaims() {
+		this.claims.claim(claim("a1"));
+		assertThat(this.claims.claim(Claim.of("other", "key-1", "hash", "a2"))).isEqualTo(Optional.empty());
+		assertThat(Claim.of("a", "bc", "hash", "x").sort()).isNotEqualTo(Claim.of("ab", "c", "hash", "x").sort());
+	}
+
+	@Test
+	void lostReplyIsSettledByARead() {
+		this.store.losesNextReply = true;
+		assertThat(this.claims.claim(claim("a1"))).isEqualTo(Optional.empty());
+		assertThat(this.repairs.size()).isEqualTo(0);
+	}
+
+	@Test
+	void claimWhoseReadFailsIsRefusedAndReleasedLater() {
+		this.store.losesNextReply = true;
+		this.store.readsFail = true;
+		RouterException refusal = refusal(this.claims, claim("a1"));
+		assertThat(refusal.type()).isEqualTo(ErrorType.CLAIM_UNAVAILABLE);
+		assertThat(refusal.verdict()).isEqualTo(Verdict.NOT_RUN);
+		assertThat(this.store.rows).hasSize(1);
+		this.store.readsFail = false;
+		this.repairs.step(this.time.nanos());
+		assertThat(this.store.rows).isEmpty();
+		assertThat(this.elsewhere.claim(claim("b1"))).isEqualTo(Optional.empty());
+	}
+
+	@Test
+	void claimThatLandsLateIsStillReleased() {
+		this.store.delaysNextWrite = true;
+		assertThat(refusal(this.claims, claim("a1")).type()).isEqualTo(ErrorType.CLAIM_UNAVAILABLE);
+		this.repairs.step(this.time.nanos());
+		this.store.applyLate();
+		assertThat(this.store.rows).hasSize(1);
+		this.time.advanceMillis(1_000);
+		this.repairs.step(this.time.nanos());
+		assertThat(this.store.rows).isEmpty();
+		this.time.advanceMillis(60_000);
+		this.repairs.step(this.time.nanos());
+		assertThat(this.repairs.size()).isEqualTo(0);
+	}
+
+	@Test
+	void storeThatIsDownRefusesAsNotRun() {
+		this.store.down = true;
+		RouterException refusal = refusal(this.claims, claim("a1"));
+		assertThat(refusal.verdict()).isEqualTo(Verdict.NOT_RUN);
+	}
+
+	@Test
+	void outcomeIsRecordedAfterAnOutage() {
+		this.claims.claim(claim("a1"));
+		this.store.down = true;
+		this.claims.record(claim("a1"), new StoredAnswer(200, "", new byte[0]));
+		this.repairs.step(this.time.nanos());
+		this.store.down = false;
+		this.repairs.step(this.time.nanos());
+		assertThat(this.elsewhere.claim(claim("b1")).orElseThrow().status()).isEqualTo(200);
+	}
+
+	@Test
+	void lateOutcomeNeverOverwritesAnotherClaim() {
+		this.claims.claim(claim("a1"));
+		this.claims.release(claim("a1"));
+		this.elsewhere.claim(claim("b1"));
+		this.claims.record(claim("a1"), null);
+		assertThat(refusal(this.claims, claim("a2")).type()).isEqualTo(ErrorType.CLAIM_IN_PROGRESS);
+	}
+
+	@Test
+	void expiredClaimsAreTakenOverAndCleanedUpInSteps() {
+		this.claims.claim(claim("a1"));
+		this.time.advanceMillis(24 * 3_600_000L);
+		assertThat(this.elsewhere.claim(claim("b1"))).isEqualTo(Optional.empty());
+		this.time.advanceMillis(26 * 3_600_000L);
+		Claim claim = claim("b1");
+		TableStore table = this.store;
+		ExpiringRows rows = new ExpiringRows(table, List.of("empty", claim.partition()));
+		assertThat(rows.step((partition) -> true, this.time.epochMillis())).isEqualTo(0);
+		assertThat(rows.step((partition) -> true, this.time.epochMillis())).isEqualTo(1);
+		assertThat(this.store.rows).isEmpty();
+	}
+
+}
--- /dev/null
+++ b/runtime/src/test/java/org/skylarkstack/request/OpenRequestsTests.java
@@ -0,0 +1,65 @@
+package org.skylarkstack.request;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+import org.skylarkstack.kernel.CancelReason;
+import org.skylarkstack.kernel.Cancellation;
+import org.skylarkstack.kernel.ErrorType;
+import org.skylarkstack.kernel.RouterException;
+import org.skylarkstack.kernel.Thrown;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class OpenRequestsTests {
+
+	private final RequestFixture fixture = new RequestFixture();
+
+	// Guards against unbounded memory and against places that are never given back.
+	@Test
+	void placesAreBoundedAndGivenBackOnce() {
+		List<OpenRequests.Slot> slots = new ArrayList<>();
+		for (int index = 0; index < 10; index++) {
+			slots.add(this.fixture.openRequests.enter());
+		}
+		RouterException refusal = Thrown.by(RouterException.class, this.fixture.openRequests::enter);
+		assertThat(refusal.type()).isEqualTo(ErrorType.TOO_MANY_REQUESTS);
+		assertThat(refusal.retryAfter()).isNotNull();
+		slots.get(0).close();
+		slots.get(0).close();
+		assertThat(this.fixture.openRequests.open()).isEqualTo(9);
+	}
+
+	// Guards against a key that is withdrawn between its check and the registration.
+	@Test
+	void keyWithdrawnBeforeRegistrationEndsTheRequest() {
+		this.fixture.withdrawKey();
+		Cancellation cancellation = new Cancellation();
+		this.fixture.openRequests.add(new OpenRequest(RequestFixture.KEY_HASH, "team", "", cancellation));
+		assertThat(cancellation.reason()).isEqualTo(CancelReason.KEY_WITHDRAWN);
+	}
+
+	// Guards against ending requests on open routes, which have no key.
+	@Test
+	void openRouteOutlivesWithdrawnKeys() {
+		Cancellation cancellation = new Cancellation();
+		this.fixture.openRequests.add(new OpenRequest("", "", "", cancellation));
+		this.fixture.withdrawKey();
+		assertThat(cancellation.reason()).isNull();
+	}
+
+	// Guards against an interrupt or call that ends a later step of the thread.
+	@Test
+	void closedRegistrationNeverRuns() {
+		Cancellation cancellation = new Cancellation();
+		List<String> ran = new ArrayList<>();
+		cancellation.onCancel(() -> ran.add("closed")).close();
+		cancellation.onCancel(() -> ran.add("open"));
+		assertThat(cancellation.cancel(CancelReason.SHUTDOWN)).isTrue();
+		assertThat(cancellation.cancel(CancelReason.CALLER_GONE)).isFalse();
+		cancellation.onCancel(() -> ran.add("late"));
+		assertThat(ran).containsExactly("open", "late").inOrder();
+	}
+
+}
--- /dev/null
+++ b/runtime/src/test/java/org/skylarkstack/request/RequestPipelineTests.java
@@ -0,0 +1,203 @@
+package org.skylarkstack.request;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.skylarkstack.kernel.CancelReason;
+import org.skylarkstack.kernel.Cancellation;
+import org.skylarkstack.kernel.ErrorType;
+import org.skylarkstack.kernel.RouterException;
+import org.skylarkstack.kernel.Thrown;
+import org.skylarkstack.kernel.Verdict;
+import org.skylarkstack.request.FakeEngineClient.DecodeFault;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Every test also guards against anything that stays held after its request.
+ */
+class RequestPipelineTests {
+
+	private static final List<String> WHOLE = List.of("t1", "t2", "t3", "t4", "t5", "t6");
+
+	private final RequestFixture fixture = new RequestFixture();
+
+	private final FakeEngineClient engines = this.fixture.engines;
+
+	private final Cancellation cancellation = new Cancellation();
+
+	@AfterEach
+	void nothingStaysHeld() {
+		this.fixture.assertAllReleased();
+		this.fixture.canceller.close();
+	}
+
+	private RouterException failure() {
+		return Thrown.by(RouterException.class, () -> this.fixture.run(true, this.cancellation));
+	}
+
+	// Guards against a request that fails because its prefill engine did.
+	@Test
+	void prefillIsRetriedOnAnotherEngine() {
+		this.engines.prefillFaults.add(() -> {
+			throw FakeEngineClient.broken("p1");
+		});
+		assertThat(this.fixture.run(true, this.cancellation)).isEqualTo(WHOLE);
+		assertThat(this.engines.work().subList(0, 2)).containsExactly("prefill p1", "prefill p2").inOrder();
+		assertThat(this.fixture.releases.stream().map((release) -> release.failedEngineId())).contains("p1");
+		assertThat(this.fixture.counters.retries()).isEqualTo(1);
+	}
+
+	// Guards against repeated or skipped tokens and against decoding without KV cache.
+	@Test
+	void lostStreamIsResumedAtItsOffsetWithNewPrefill() {
+		this.engines.decodeFaults.add(new DecodeFault(3, this.engines.crash("d1")));
+		assertThat(this.fixture.run(true, this.cancellation)).isEqualTo(WHOLE);
+		assertThat(this.engines.work()).containsExactly("prefill p1", "decode d1@0", "prefill p2", "decode d2@3");
+		assertThat(this.fixture.counters.resumes()).isEqualTo(1);
+		assertThat(this.fixture.counters.wastedPrefillTokens()).isEqualTo(FakeEngineClient.PROMPT_TOKENS);
+	}
+
+	// Guards against a dead engine that uses up the retry budget, one retry for each
+	// request.
+	@Test
+	void deadEngineIsAvoidedByTheNextRequestsForAShortTime() {
+		this.engines.dead.add("p1");
+		for (int index = 0; index < 5; index++) {
+			assertThat(this.fixture.run(true, new Cancellation())).isEqualTo(WHOLE);
+		}
+		assertThat(this.fixture.counters.retries()).isEqualTo(1);
+		this.engines.dead.clear();
+		this.fixture.time.advanceMillis(3_000);
+		this.fixture.run(true, new Cancellation());
+		assertThat(this.engines.work().stream().filter("prefill p1"::equals)).hasSize(2);
+	}
+
+	// Guards against a second prefill when only the decode engine refused.
+	@Test
+	void prefillResultIsUsedAgainWhenDecodeNeverStarted() {
+		this.engines.dead.add("d1");
+		assertThat(this.fixture.run(true, this.cancellation)).isEqualTo(WHOLE);
+		assertThat(this.engines.work().stream().filter((call) -> call.startsWith("prefill"))).hasSize(1);
+	}
+
+	// Guards against failing a request whose prefill result went out of its term.
+	@Test
+	void prefillRunsAgainWhenItsResultIsGone() {
+		this.engines.prefillFaults.add(() -> this.engines.holds.clear());
+		assertThat(this.fixture.run(true, this.cancellation)).isEqualTo(WHOLE);
+		assertThat(this.engines.work().stream().filter((call) -> call.startsWith("prefill"))).hasSize(2);
+	}
+
+	// Guards against retries without end, and against a refusal that wrongly says "not
+	// run" because only the last attempt was refused.
+	@Test
+	void attemptsAreBoundedAndTheirVerdictsAdded() {
+		this.engines.prefillFaults.add(this.engines.crash("p1"));
+		this.engines.dead.addAll(List.of("p2", "p3"));
+		RouterException failure = failure();
+		assertThat(failure.type()).isEqualTo(ErrorType.BACKEND_UNREACHABLE);
+		assertThat(failure.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+		assertThat(this.engines.work().stream().filter((call) -> call.startsWith("prefill")).count())
+			.isAtMost(RetryPolicy.MAX_ATTEMPTS);
+	}
+
+	// Guards against a second run of a non-idempotent request.
+	@Test
+	void nonIdempotentRequestIsNotRetriedOnceItMayHaveRun() {
+		this.engines.decodeFaults.add(new DecodeFault(0, () -> {
+			throw FakeEngineClient.broken("d1");
+		}));
+		Thrown.by(RouterException.class, () -> this.fixture.run(false, this.cancellation));
+		assertThat(this.engines.work().stream().filter((call) -> call.startsWith("decode"))).hasSize(1);
+	}
+
+	// Guards against engine memory and work for callers that left while queued.
+	@Test
+	void callerGoneWhileQueuedReachesNoEngine() {
+		this.fixture.whilePlacing = () -> this.cancellation.cancel(CancelReason.CALLER_GONE);
+		RouterException failure = failure();
+		assertThat(failure.type()).isEqualTo(ErrorType.CALLER_GONE);
+		assertThat(failure.verdict()).isEqualTo(Verdict.NOT_RUN);
+		assertThat(this.engines.work()).isEmpty();
+		assertThat(Thread.interrupted()).isFalse();
+	}
+
+	// Guards against a prefill result that stays held when the caller leaves.
+	@Test
+	void callerGoneWhilePrefillingIsCancelledOnTheEngine() {
+		this.engines.prefillFaults.add(() -> this.cancellation.cancel(CancelReason.CALLER_GONE));
+		this.engines.decodeFaults.add(new DecodeFault(0, () -> this.cancellation.check(Verdict.MAY_HAVE_RUN)));
+		assertThat(failure().type()).isEqualTo(ErrorType.CALLER_GONE);
+		assertThat(this.fixture.counters.wastedPrefillTokens()).isEqualTo(FakeEngineClient.PROMPT_TOKENS);
+	}
+
+	// Guards against a decode that goes on for a caller whose connection broke.
+	@Test
+	void callerGoneWhileStreamingIsCancelledOnTheEngine() {
+		Thrown.by(CallerGoneException.class, () -> this.fixture.run(true, this.cancellation, (data) -> {
+			throw new CallerGoneException(new java.io.IOException("broken pipe"));
+		}));
+		assertThat(this.cancellation.reason()).isEqualTo(CancelReason.CALLER_GONE);
+	}
+
+	// Guards against a stream that outlives its key.
+	@Test
+	void withdrawnKeyEndsTheStream() {
+		this.engines.decodeFaults.add(new DecodeFault(2, this.fixture::withdrawKey));
+		List<String> events = new ArrayList<>();
+		RouterException failure = Thrown.by(RouterException.class,
+				() -> this.fixture.run(true, this.cancellation, events::add));
+		assertThat(failure.type()).isEqualTo(ErrorType.KEY_WITHDRAWN);
+		assertThat(events).containsExactly("t1", "t2").inOrder();
+	}
+
+	// Guards against a shutdown that leaves engine memory held.
+	@Test
+	void shutdownEndsTheStreamWithAnError() {
+		this.engines.decodeFaults.add(new DecodeFault(2, this.fixture.openRequests::endAll));
+		assertThat(failure().type()).isEqualTo(ErrorType.SHUT_DOWN);
+	}
+
+	// Guards against a request that crashes engine after engine when its caller sends it
+	// again.
+	@Test
+	void requestLosesAtMostTwoEnginesWithItsReSends() {
+		this.engines.decodeFaults.add(new DecodeFault(0, this.engines.crash("d1")));
+		this.engines.decodeFaults.add(new DecodeFault(0, this.engines.crash("d2")));
+		assertThat(failure().type()).isEqualTo(ErrorType.CRASH_SUSPECT);
+		assertThat(this.engines.dead).hasSize(2);
+		assertThat(this.fixture.placed.get(this.fixture.placed.size() - 1).isolated()).isTrue();
+		List<String> work = this.engines.work();
+		assertThat(failure().type()).isEqualTo(ErrorType.CRASH_SUSPECT);
+		assertThat(this.engines.work()).isEqualTo(work);
+	}
+
+	// Guards against refusing a harmless request whose engine died by chance.
+	@Test
+	void suspectThatRunsToItsEndIsNoSuspectAnyMore() {
+		this.engines.decodeFaults.add(new DecodeFault(3, this.engines.crash("d1")));
+		assertThat(this.fixture.run(true, this.cancellation)).isEqualTo(WHOLE);
+		assertThat(this.fixture.store.rows).isEmpty();
+		assertThat(this.fixture.run(true, new Cancellation())).isEqualTo(WHOLE);
+	}
+
+	// Guards against ending all requests of a crashed engine while the store is down.
+	@Test
+	void witnessOfTheCrashRunsItsRequestAgainWithoutTheStore() {
+		this.fixture.store.down = true;
+		this.engines.decodeFaults.add(new DecodeFault(3, this.engines.crash("d1")));
+		assertThat(this.fixture.run(true, this.cancellation)).isEqualTo(WHOLE);
+	}
+
+	// Guards against tokens that an engine lost.
+	@Test
+	void streamWithGapIsResumedBeforeTheGap() {
+		this.engines.skippedTokens.add(4);
+		assertThat(this.fixture.run(true, this.cancellation)).isEqualTo(WHOLE);
+		assertThat(this.engines.work()).contains("decode d2@3");
+	}
+
+}
--- /dev/null
+++ b/runtime/src/test/java/org/skylarkstack/request/ServiceProxyTests.java
@@ -0,0 +1,247 @@
+package org.skylarkstack.request;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+
+import mockwebserver3.MockResponse;
+import mockwebserver3.MockWebServer;
+import mockwebserver3.RecordedRequest;
+import mockwebserver3.SocketEffect;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.skylarkstack.configuration.BackendServer;
+import org.skylarkstack.configuration.BackendService;
+import org.skylarkstack.configuration.ConfigurationHolder;
+import org.skylarkstack.configuration.Route;
+import org.skylarkstack.configuration.Ticket;
+import org.skylarkstack.configuration.TicketChange;
+import org.skylarkstack.engine.BackendClients;
+import org.skylarkstack.kernel.Cancellation;
+import org.skylarkstack.kernel.ErrorType;
+import org.skylarkstack.kernel.RouterException;
+import org.skylarkstack.kernel.Thrown;
+import org.skylarkstack.kernel.Verdict;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class ServiceProxyTests implements ServiceAnswer {
+
+	private static final Route ROUTE = new Route("r", "/meals", Set.of("GET", "POST"), "meals", false, false);
+
+	private final MockWebServer first = new MockWebServer();
+
+	private final MockWebServer second = new MockWebServer();
+
+	private final FakeTime time = new FakeTime();
+
+	private final ConfigurationHolder configuration = new ConfigurationHolder();
+
+	private final RetryBudget budget = new RetryBudget(this.time.nanos());
+
+	private final ServiceTargets targets = new ServiceTargets("dc");
+
+	private final ServiceProxy proxy = new ServiceProxy(this.configuration, new BackendClients(500), this.targets,
+			this.budget, new RetryPolicy(this.budget), 300, this.time);
+
+	private final FakeTableStore store = new FakeTableStore();
+
+	private final IdempotencyClaims claims = new IdempotencyClaims(this.store, new ClaimRepairs(this.store), this.time);
+
+	private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+
+	private final List<Header> headers = new ArrayList<>();
+
+	private int status;
+
+	@BeforeEach
+	void start() throws IOException {
+		this.first.start();
+		this.second.start();
+		configure(1, false, false);
+	}
+
+	@AfterEach
+	void stop() {
+		assertThat(this.targets.inFlight(url(this.first)) + this.targets.inFlight(url(this.second))).isEqualTo(0);
+		this.first.close();
+		this.second.close();
+	}
+
+	private static String url(MockWebServer server) {
+		return "http://127.0.0.1:" + server.getPort();
+	}
+
+	private void configure(long ticket, boolean firstLeaves, boolean secondLeaves) {
+		// The first server is in the own data centre and is preferred.
+		BackendService service = new BackendService("meals",
+				List.of(new BackendServer(url(this.first), "dc", firstLeaves),
+						new BackendServer(url(this.second), "far", secondLeaves)));
+		this.configuration
+			.update((current) -> current.apply(new Ticket(ticket, "test", List.of(TicketChange.set(service)))));
+	}
+
+	private void run(String method, boolean idempotent) {
+		run(method, "/meals/7?day=mon&x=%20", idempotent, null);
+	}
+
+	private void run(String method, String target, boolean idempotent,
+			@org.jspecify.annotations.Nullable ClaimedRun claimed) {
+		byte[] sent = "POST".equals(method) ? "lunch".getBytes(StandardCharsets.UTF_8) : new byte[0];
+		this.proxy.run(new ServiceRequest(ROUTE, method, target, List.of(new Header("X-Term", "autumn")), sent,
+				idempotent, new Cancellation()), claimed, this);
+	}
+
+	@Override
+	public void begin(int newStatus, List<Header> newHeaders, long contentLength) {
+		this.status = newStatus;
+		this.headers.addAll(newHeaders);
+	}
+
+	@Override
+	public void write(byte[] buffer, int length) {
+		this.body.write(buffer, 0, length);
+	}
+
+	private static MockResponse ok() {
+		return new MockResponse.Builder().code(201)
+			.setHeader("X-Menu", "soup")
+			.setHeader("Connection", "X-Hop")
+			.setHeader("X-Hop", "1")
+			.body("served")
+			.build();
+	}
+
+	// Guards against requests and answers that change on their way.
+	@Test
+	void requestAndAnswerPassUnchanged() throws InterruptedException {
+		this.first.enqueue(ok());
+		run("POST", true);
+		RecordedRequest request = this.first.takeRequest();
+		assertThat(request.getRequestLine()).isEqualTo("POST /meals/7?day=mon&x=%20 HTTP/1.1");
+		assertThat(String.valueOf(request.getBody())).contains("lunch");
+		assertThat(request.getHeaders().get("X-Term")).isEqualTo("autumn");
+		assertThat(this.status).isEqualTo(201);
+		assertThat(this.headers).contains(new Header("X-Menu", "soup"));
+		assertThat(this.headers.stream().map(Header::name)).doesNotContain("X-Hop");
+		assertThat(this.body.toString(StandardCharsets.UTF_8)).isEqualTo("served");
+	}
+
+	// Guards against a second run of a booking, whatever happens after the first byte.
+	@Test
+	void nonIdempotentRequestIsSentOnceOnANewConnection() throws InterruptedException {
+		this.first.enqueue(ok());
+		this.first.enqueue(new MockResponse.Builder().onResponseStart(new SocketEffect.CloseSocket()).build());
+		run("POST", true);
+		RouterException failure = Thrown.by(RouterException.class, () -> run("POST", false));
+		assertThat(failure.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+		this.first.takeRequest();
+		assertThat(this.first.takeRequest().getExchangeIndex()).isEqualTo(0);
+		assertThat(this.first.getRequestCount()).isEqualTo(2);
+		assertThat(this.second.getRequestCount()).isEqualTo(0);
+	}
+
+	// Guards against sending a non-idempotent request again because the service asks so.
+	@Test
+	void refusalWithRetryAfterZeroIsPassedOn() {
+		this.first.enqueue(new MockResponse.Builder().code(503).setHeader("Retry-After", "0").build());
+		run("POST", false);
+		assertThat(this.status).isEqualTo(503);
+		assertThat(this.headers).contains(new Header("Retry-After", "0"));
+		assertThat(this.first.getRequestCount()).isEqualTo(1);
+	}
+
+	// Guards against a refused connection that ends a request although another server
+	// is there.
+	@Test
+	void unreachableServerIsReplacedEvenForNonIdempotentRequests() {
+		this.first.close();
+		this.second.enqueue(ok());
+		run("POST", false);
+		assertThat(this.status).isEqualTo(201);
+	}
+
+	// Guards against a silent connection that ends a repeatable read.
+	@Test
+	void idempotentRequestIsRetriedOnAnotherServer() {
+		this.first.enqueue(new MockResponse.Builder().onResponseStart(SocketEffect.Stall.INSTANCE).build());
+		this.second.enqueue(ok());
+		this.second.enqueue(ok());
+		run("GET", true);
+		run("GET", true);
+		assertThat(this.second.getRequestCount()).isEqualTo(2);
+	}
+
+	// Guards against retries that exceed the budget.
+	@Test
+	void retriesEndWithTheBudget() {
+		while (this.budget.tryRetry(this.time.nanos())) {
+			// Uses the budget up.
+		}
+		this.first.enqueue(new MockResponse.Builder().onResponseStart(new SocketEffect.CloseSocket()).build());
+		Thrown.by(RouterException.class, () -> run("GET", true));
+		assertThat(this.second.getRequestCount()).isEqualTo(0);
+	}
+
+	// Guards against new work for a server that leaves.
+	@Test
+	void leavingServersGetNoWork() {
+		configure(2, true, false);
+		this.second.enqueue(ok());
+		run("GET", true);
+		assertThat(this.first.getRequestCount()).isEqualTo(0);
+		configure(3, true, true);
+		assertThat(Thrown.by(RouterException.class, () -> run("GET", true)).verdict()).isEqualTo(Verdict.NOT_RUN);
+	}
+
+	// Guards against paths that leave the prefix of their route.
+	@Test
+	void pathThatIsNotNormalIsRefused() {
+		for (String target : List.of("/meals/../admin", "/meals/%2e%2e/admin", "/meals/./x")) {
+			RouterException failure = Thrown.by(RouterException.class, () -> run("GET", target, true, null));
+			assertThat(failure.type()).isEqualTo(ErrorType.BAD_REQUEST);
+		}
+		assertThat(this.first.getRequestCount()).isEqualTo(0);
+	}
+
+	private ClaimedRun claim(String attempt) {
+		Claim claim = Claim.of("team", "key", "hash", attempt);
+		assertThat(this.claims.claim(claim).isEmpty()).isTrue();
+		return new ClaimedRun(this.claims, claim);
+	}
+
+	// Guards against an outcome that is lost because the caller is gone when it arrives.
+	@Test
+	void outcomeIsRecordedBeforeTheCallerHears() {
+		this.first.enqueue(ok());
+		run("POST", "/meals/7", false, claim("a1"));
+		assertThat(this.claims.claim(Claim.of("team", "key", "hash", "a2")).orElseThrow().status()).isEqualTo(201);
+	}
+
+	// Guards against losing bytes of an answer that is too large to be kept.
+	@Test
+	void largeAnswerPassesWholeButIsNotKept() {
+		String large = "x".repeat(3 * StoredAnswer.MAX_BODY_BYTES);
+		this.first.enqueue(new MockResponse.Builder().body(large).build());
+		run("POST", "/meals/7", false, claim("a1"));
+		assertThat(this.body.size()).isEqualTo(large.length());
+		assertThat(Thrown.by(RouterException.class, () -> claim("a2")).type()).isEqualTo(ErrorType.ANSWER_NOT_KEPT);
+	}
+
+	// Guards against the caller's credentials at a backend server.
+	@Test
+	void credentialsStayBehind() {
+		List<Header> sent = List.of(new Header("AUTHORIZATION", "Bearer secret"), new Header("x-api-key", "other"),
+				new Header("X-Debug", "key=secret"), new Header("Proxy-Authorization", "x"),
+				new Header("Connection", "close, X-Hop"), new Header("x-hop", "1"), new Header("X-Skylark-Test", "1"),
+				new Header("Accept", "text/plain"), new Header("Cookie", "menu=soup"));
+		assertThat(HeaderFilter.towardsService(sent, "secret").stream().map(Header::name))
+			.containsExactly("Accept", "Cookie")
+			.inOrder();
+	}
+
+}
--- /dev/null
+++ b/runtime/src/test/java/org/skylarkstack/request/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Tests of package request.
+ */
+@NullMarked
+package org.skylarkstack.request;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/testsuite/src/test/java/org/skylarkstack/testsuite/RecoverySteps.java
@@ -0,0 +1,188 @@
+package org.skylarkstack.testsuite;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+
+import io.cucumber.java.After;
+import io.cucumber.java.en.Given;
+import io.cucumber.java.en.Then;
+import io.cucumber.java.en.When;
+import okhttp3.MediaType;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import org.jspecify.annotations.Nullable;
+import org.skylarkstack.configuration.EngineRole;
+import org.skylarkstack.configuration.ObjectKind;
+import org.skylarkstack.configuration.Team;
+import org.skylarkstack.configuration.Ticket;
+import org.skylarkstack.configuration.TicketChange;
+import org.skylarkstack.fleet.EnginePlan;
+import org.skylarkstack.fleet.FleetAnswer;
+import org.skylarkstack.fleet.FleetClient;
+import org.skylarkstack.fleet.FleetPlan;
+import org.skylarkstack.fleet.LocalFleet;
+import org.skylarkstack.fleet.VmPlan;
+import org.skylarkstack.misc.Hashes;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Steps about failures during requests.
+ */
+public class RecoverySteps {
+
+	private static final String MODEL = "model";
+
+	private static final String KEY = "key-of-recovery";
+
+	private static final Duration READY_TIMEOUT = Duration.ofSeconds(20);
+
+	private final List<FleetAnswer> answers = new ArrayList<>();
+
+	private @Nullable LocalFleet fleet;
+
+	/**
+	 * Starts a fleet of two VMs with one team.
+	 * @param prefills the number of prefill engines
+	 * @param decodes the number of decode engines
+	 */
+	@Given("a fleet for recovery with {int} prefill engine(s) and {int} decode engine(s)")
+	public void startFleet(int prefills, int decodes) {
+		List<EnginePlan> engines = new ArrayList<>();
+		for (int engine = 0; engine < prefills + decodes; engine++) {
+			EngineRole role = (engine < prefills) ? EngineRole.PREFILL : EngineRole.DECODE;
+			engines.add(new EnginePlan("engine-" + engine, "dc-0", MODEL, role, 20, 64, 20_000, 5));
+		}
+		this.fleet = LocalFleet
+			.start(new FleetPlan(List.of(new VmPlan("vm-0", "dc-0"), new VmPlan("vm-1", "dc-0")), engines,
+					List.of(new Team("recovery", 100_000, 600_000, 1, null)), Map.of(KEY, "recovery"), "fair-queue"));
+		assertThat(client().submit("vm-0", fleet().firstTicket()).status()).isEqualTo(201);
+		assertThat(client().awaitReady(READY_TIMEOUT)).isAtLeast(0L);
+	}
+
+	private LocalFleet fleet() {
+		return Objects.requireNonNull(this.fleet);
+	}
+
+	private FleetClient client() {
+		return new FleetClient(fleet());
+	}
+
+	/** Stops the fleet. */
+	@After
+	public void stopFleet() {
+		if (this.fleet != null) {
+			this.fleet.close();
+		}
+	}
+
+	@When("engine {string} stops")
+	public void stopEngine(String id) {
+		fleet().engine(id).close();
+	}
+
+	@When("the store goes down")
+	public void stopStore() {
+		fleet().platform().faults().down(true);
+	}
+
+	@When("{int} callers ask for {int} tokens one after another")
+	public void ask(int callers, int tokens) {
+		for (int caller = 0; caller < callers; caller++) {
+			this.answers.add(client().send(client().chat("vm-0", KEY, MODEL, "caller " + caller, tokens)));
+		}
+	}
+
+	/**
+	 * Withdraws the key after the first event of a stream.
+	 * @param tokens the tokens to ask for
+	 * @throws IOException if the connection breaks
+	 */
+	@When("a caller asks for {int} tokens and its key is withdrawn while they arrive")
+	public void withdrawKey(int tokens) throws IOException {
+		OkHttpClient caller = new OkHttpClient.Builder().readTimeout(Duration.ofSeconds(30)).build();
+		try (Response response = caller.newCall(client().chat("vm-0", KEY, MODEL, "x", tokens)).execute()) {
+			String first = response.body().source().readUtf8LineStrict();
+			String keyId = "key-" + Hashes.sha256(KEY).substring(0, 8);
+			Ticket ticket = new Ticket(2, "test", List.of(TicketChange.delete(ObjectKind.KEY, keyId)));
+			assertThat(client().submit("vm-1", ticket).status()).isEqualTo(201);
+			this.answers.add(new FleetAnswer(response.code(), "", first + response.body().string()));
+		}
+	}
+
+	@When("a keyed non-idempotent request is sent to two VMs")
+	public void sendKeyed() {
+		for (String vmId : fleet().vmIds()) {
+			Request request = client().chat(vmId, KEY, MODEL, "book a visit", 4);
+			this.answers.add(client().send(request.newBuilder()
+				.header("Idempotency-Key", "visit-1")
+				.header("X-Skylark-Non-Idempotent", "true")
+				.build()));
+		}
+	}
+
+	@When("a caller asks for {int} tokens without streaming")
+	public void askWhole(int tokens) {
+		String body = "{\"model\":\"%s\",\"max_tokens\":%d,\"messages\":[{\"role\":\"user\",\"content\":\"x\"}]}"
+			.formatted(MODEL, tokens);
+		this.answers.add(client().send(client().chat("vm-0", KEY, MODEL, "x", tokens)
+			.newBuilder()
+			.post(RequestBody.create(body, MediaType.get("application/json")))
+			.build()));
+	}
+
+	@Then("every answer is whole and has the tokens 1 to {int}")
+	public void answersAreWhole(int tokens) {
+		StringBuilder expected = new StringBuilder();
+		for (int token = 1; token <= tokens; token++) {
+			expected.append(" t").append(token);
+		}
+		for (FleetAnswer answer : this.answers) {
+			assertThat(answer.isWholeStream()).isTrue();
+			StringBuilder got = new StringBuilder();
+			for (String part : answer.body().split("\"content\":\"", -1)) {
+				got.append(part.startsWith(" t") ? part.substring(0, part.indexOf('"')) : "");
+			}
+			assertThat(got.toString()).isEqualTo(expected.toString());
+		}
+	}
+
+	@Then("the stream ends with error {string} and without an end marker")
+	public void streamEndsWithError(String error) {
+		assertThat(this.answers).hasSize(1);
+		assertThat(this.answers.get(0).status()).isEqualTo(200);
+		assertThat(this.answers.get(0).body()).contains(error);
+		assertThat(this.answers.get(0).isWholeStream()).isFalse();
+	}
+
+	@Then("both answers are equal")
+	public void answersAreEqual() {
+		assertThat(this.answers).hasSize(2);
+		assertThat(this.answers.get(0).isWholeStream()).isTrue();
+		assertThat(this.answers.get(1).body()).isEqualTo(this.answers.get(0).body());
+	}
+
+	@Then("both answers have status {int} and verdict {string}")
+	public void answersHaveStatus(int status, String verdict) {
+		assertThat(this.answers).hasSize(2);
+		for (FleetAnswer answer : this.answers) {
+			assertThat(answer.status()).isEqualTo(status);
+			assertThat(answer.verdict()).isEqualTo(verdict);
+		}
+	}
+
+	@Then("the answer is whole and has {int} tokens")
+	public void answerIsWhole(int tokens) {
+		assertThat(this.answers).hasSize(1);
+		assertThat(this.answers.get(0).status()).isEqualTo(200);
+		assertThat(this.answers.get(0).body()).contains(" t" + tokens + "\"");
+		assertThat(this.answers.get(0).body()).contains("\"finish_reason\":\"stop\"");
+	}
+
+}
