Clean up owned claim rows only, answer unknown methods, test graceful shutdown

Cause: the cleaner spent a step on each partition that another VM cleans, so one page took up to four hours; methods without a handler got a plain-text 404 without a verdict; an immediate stop could cut callers off before their error. Change: the cleaner skips to the next owned partition; such methods get the usual error; a stop waits up to a second for ended requests. A stream of 900 tokens outlives a graceful shutdown whole.

--- a/daemon/src/main/java/org/skylarkstack/daemon/Daemon.java
+++ b/daemon/src/main/java/org/skylarkstack/daemon/Daemon.java
@@ -30,6 +30,8 @@
 
 	private static final long SHUTDOWN_POLL_MILLIS = 20;
 
+	private static final int MAX_END_POLLS = 50;
+
 	private final DaemonSettings settings;
 
 	private final CallerApi callerApi;
@@ -171,6 +173,10 @@
 		this.poller.shutdownNow();
 		this.openRequests.refuseNew();
 		this.openRequests.endAll();
+		// Gives the ended requests the time to tell their callers.
+		for (int polls = 0; polls < MAX_END_POLLS && this.openRequests.open() > 0 && pause(); polls++) {
+			this.openRequests.endAll();
+		}
 		this.callerServer.stop();
 		this.operatorServer.stop();
 		this.requestDuties.close();
--- a/runtime/src/main/java/org/skylarkstack/http/CallerApi.java
+++ b/runtime/src/main/java/org/skylarkstack/http/CallerApi.java
@@ -13,6 +13,7 @@
 import io.javalin.http.Context;
 import io.javalin.http.Handler;
 import io.javalin.http.HandlerType;
+import io.javalin.http.HttpResponseException;
 import org.jspecify.annotations.Nullable;
 import org.skylarkstack.configuration.ConfigurationHolder;
 import org.skylarkstack.configuration.Team;
@@ -107,6 +108,7 @@
 		config.routes.post("/v1/completions", bounded(this::complete));
 		SERVICE_METHODS.forEach((method) -> config.routes.addHttpHandler(method, "/*", bounded(this.services::serve)));
 		config.routes.exception(RouterException.class, (failure, context) -> ErrorAnswer.write(context, failure));
+		config.routes.exception(HttpResponseException.class, CallerApi::noHandler);
 		config.routes.exception(Exception.class, CallerApi::internal);
 	}
 
@@ -118,6 +120,12 @@
 		};
 	}
 
+	// Javalin found no handler, for example for the method TRACE.
+	private static void noHandler(HttpResponseException failure, Context context) {
+		ErrorAnswer.write(context,
+				new RouterException(ErrorType.NO_ROUTE, context.req().getMethod(), context.req().getRequestURI()));
+	}
+
 	private static void internal(Exception failure, Context context) {
 		LOG.atError().addKeyValue("event", "request_failed").setCause(failure).log();
 		if (context.res().isCommitted()) {
--- a/runtime/src/main/java/org/skylarkstack/request/ExpiringRows.java
+++ b/runtime/src/main/java/org/skylarkstack/request/ExpiringRows.java
@@ -1,6 +1,7 @@
 package org.skylarkstack.request;
 
 import java.util.List;
+import java.util.function.Predicate;
 
 import org.skylarkstack.store.Row;
 import org.skylarkstack.store.RowCondition;
@@ -47,15 +48,14 @@
 	}
 
 	/**
-	 * Cleans one page.
+	 * Cleans one page of the next partition that this VM cleans.
 	 * @param owned tells whether this VM cleans a partition
 	 * @param epochMillis the wall-clock time
 	 * @return the number of deleted rows
 	 */
-	public int step(java.util.function.Predicate<String> owned, long epochMillis) {
-		String name = this.partitions.get(this.partition);
-		if (!owned.test(name)) {
-			nextPartition();
+	public int step(Predicate<String> owned, long epochMillis) {
+		String name = nextOwned(owned);
+		if (name.isEmpty()) {
 			return 0;
 		}
 		try {
@@ -73,6 +73,17 @@
 		}
 	}
 
+	private String nextOwned(Predicate<String> owned) {
+		for (int tries = 0; tries < this.partitions.size(); tries++) {
+			String name = this.partitions.get(this.partition);
+			if (owned.test(name)) {
+				return name;
+			}
+			nextPartition();
+		}
+		return "";
+	}
+
 	private int delete(List<Row> page, long epochMillis) {
 		int deleted = 0;
 		for (Row row : page) {
--- a/runtime/src/test/java/org/skylarkstack/http/CallerApiTests.java
+++ b/runtime/src/test/java/org/skylarkstack/http/CallerApiTests.java
@@ -140,8 +140,8 @@
 				{ completion("{\"model\":\"model\",\"prompt\":\"x\",\"max_tokens\":\"9\"}"), "400" },
 				{ completion("{\"model\":\"none\",\"prompt\":\"x\"}"), "404" },
 				{ head("POST /v1/completions", 10_001), "413" }, { head("GET /nowhere", 0), "404" },
-				{ head("GET /menu", 0, "X-Long: " + "x".repeat(5_000)), "431" }, { "nonsense\r\n\r\n", "400" },
-				{ completion(BODY).replace("Bearer key", "Bearer other"), "401" },
+				{ head("TRACE /menu", 0), "404" }, { head("GET /menu", 0, "X-Long: " + "x".repeat(5_000)), "431" },
+				{ "nonsense\r\n\r\n", "400" }, { completion(BODY).replace("Bearer key", "Bearer other"), "401" },
 				{ head("GET /menu?k=key", 0), "400" } }) {
 			String answer = ask(each[0]);
 			assertThat(answer).startsWith("HTTP/1.1 " + each[1]);
@@ -203,6 +203,14 @@
 		}
 	}
 
+	// Guards against answers to HEAD that announce a body and never end.
+	@Test
+	void headAndEmptyAnswersPass() throws IOException {
+		this.service.enqueue(new MockResponse.Builder().code(204).build());
+		assertThat(ask(head("GET /menu", 0))).startsWith("HTTP/1.1 204");
+		assertThat(ask(head("HEAD /menu", 0))).startsWith("HTTP/1.1 404");
+	}
+
 	// Guards against a broken stream that looks finished.
 	@Test
 	void streamThatFailsEndsWithAnErrorEventAndNoEndMarker() throws IOException {
--- a/testsuite/src/test/java/org/skylarkstack/testsuite/RecoverySteps.java
+++ b/testsuite/src/test/java/org/skylarkstack/testsuite/RecoverySteps.java
@@ -106,13 +106,30 @@
 	 */
 	@When("a caller asks for {int} tokens and its key is withdrawn while they arrive")
 	public void withdrawKey(int tokens) throws IOException {
+		String keyId = "key-" + Hashes.sha256(KEY).substring(0, 8);
+		Ticket ticket = new Ticket(2, "test", List.of(TicketChange.delete(ObjectKind.KEY, keyId)));
+		askAndThen(tokens, () -> assertThat(client().submit("vm-1", ticket).status()).isEqualTo(201));
+	}
+
+	/**
+	 * Shuts a VM down after the first event of a stream.
+	 * @param tokens the tokens to ask for
+	 * @throws IOException if the connection breaks
+	 * @throws InterruptedException if the test is interrupted
+	 */
+	@When("a caller asks for {int} tokens and its VM shuts down gracefully while they arrive")
+	public void shutDown(int tokens) throws IOException, InterruptedException {
+		Thread stopper = new Thread(() -> fleet().stopDaemon("vm-0"), "stopper");
+		askAndThen(tokens, stopper::start);
+		stopper.join();
+	}
+
+	private void askAndThen(int tokens, Runnable afterFirstEvent) throws IOException {
 		OkHttpClient caller = new OkHttpClient.Builder().readTimeout(Duration.ofSeconds(30)).build();
 		try (Response response = caller.newCall(client().chat("vm-0", KEY, MODEL, "x", tokens)).execute()) {
 			String first = response.body().source().readUtf8LineStrict();
-			String keyId = "key-" + Hashes.sha256(KEY).substring(0, 8);
-			Ticket ticket = new Ticket(2, "test", List.of(TicketChange.delete(ObjectKind.KEY, keyId)));
-			assertThat(client().submit("vm-1", ticket).status()).isEqualTo(201);
-			this.answers.add(new FleetAnswer(response.code(), "", first + response.body().string()));
+			afterFirstEvent.run();
+			this.answers.add(new FleetAnswer(response.code(), "", first + "\n" + response.body().string()));
 		}
 	}
 
--- a/testsuite/src/test/resources/org/skylarkstack/testsuite/recovery.feature
+++ b/testsuite/src/test/resources/org/skylarkstack/testsuite/recovery.feature
@@ -28,3 +28,8 @@
     Given a fleet for recovery with 1 prefill engine and 1 decode engine
     When a caller asks for 5 tokens without streaming
     Then the answer is whole and has 5 tokens
+
+  Scenario: A graceful shutdown cuts off no stream
+    Given a fleet for recovery with 1 prefill engine and 1 decode engine
+    When a caller asks for 900 tokens and its VM shuts down gracefully while they arrive
+    Then every answer is whole and has the tokens 1 to 900
