--- a/daemon/src/main/java/org/skylarkstack/daemon/DroppingTransport.java
+++ b/daemon/src/main/java/org/skylarkstack/daemon/DroppingTransport.java
@@ -6,7 +6,7 @@
 import org.skylarkstack.peer.PeerTransport;
 
 /**
- * Transport of a daemon that knows no peers.
+ * Transport of a daemon that has no peers: it drops every message.
  */
 final class DroppingTransport implements PeerTransport {
 
@@ -17,6 +17,7 @@
 
 	@Override
 	public <M extends PeerMessage> void handle(Class<M> type, BiConsumer<String, M> handler) {
+		// No message ever arrives.
 	}
 
 }
--- a/runtime/src/test/java/org/skylarkstack/kernel/package-info.java
+++ b/runtime/src/test/java/org/skylarkstack/kernel/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Tests of the kernel.
+ * Tests and test helpers of package kernel.
  */
 @NullMarked
 package org.skylarkstack.kernel;
