Place requests through the soft owner of their model

Cause: each VM placed alone, so VMs overbooked engines and no queue was shared. Change: PlacementClient and PlacementOwner hold the two sides of placement as single-threaded state; SoftOwnerPlacer runs both on one duty. Offers are confirmed at once and while they wait, withdrawn and offered again when the owner changes, and decided alone by two choices after 50 ms without word. Placer.offer returns a future whose cancellation withdraws the request. LoadPoller polls only the models that this VM schedules.

--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/schedule/LoadPolling.java
@@ -0,0 +1,68 @@
+package org.skylarkstack.schedule;
+
+import java.time.Duration;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+
+import org.skylarkstack.configuration.ConfigurationHolder;
+import org.skylarkstack.engine.EngineClient;
+import org.skylarkstack.kernel.Duty;
+import org.skylarkstack.misc.TimeSource;
+
+/**
+ * Duty that runs a {@link LoadPoller} with bounded concurrency.
+ */
+public final class LoadPolling implements AutoCloseable {
+
+	private static final Duration PERIOD = Duration.ofMillis(250);
+
+	private static final int THREADS = 8;
+
+	/**
+	 * A poll that finds the queue full is left out; the next period starts it again.
+	 */
+	private static final int QUEUED_POLLS = 256;
+
+	private static final long IDLE_SECONDS = 10;
+
+	private static final int RING_MESSAGES = 16;
+
+	private final ExecutorService executor;
+
+	private final Duty<Runnable> duty;
+
+	/**
+	 * Creates the duty; {@link #start()} starts it.
+	 * @param configuration names the engines
+	 * @param engines calls the engines
+	 * @param placer needs the reports
+	 * @param time the time source
+	 */
+	public LoadPolling(ConfigurationHolder configuration, EngineClient engines, SoftOwnerPlacer placer,
+			TimeSource time) {
+		ThreadPoolExecutor pool = new ThreadPoolExecutor(THREADS, THREADS, IDLE_SECONDS, TimeUnit.SECONDS,
+				new LinkedBlockingQueue<>(QUEUED_POLLS), (task) -> {
+					Thread thread = new Thread(task, "load-poll-worker");
+					thread.setDaemon(true);
+					return thread;
+				});
+		pool.allowCoreThreadTimeOut(true);
+		this.executor = pool;
+		LoadPoller poller = new LoadPoller(configuration, engines, placer::needsLoad, placer::loadReport, pool, time);
+		this.duty = new Duty<>("load-poll", RING_MESSAGES, PERIOD, Runnable::run, poller::step);
+	}
+
+	/** Starts the duty. */
+	public void start() {
+		this.duty.start();
+	}
+
+	@Override
+	public void close() {
+		this.duty.close();
+		this.executor.shutdownNow();
+	}
+
+}
--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/schedule/PlacementClient.java
@@ -0,0 +1,404 @@
+package org.skylarkstack.schedule;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+
+import org.skylarkstack.configuration.ConfigurationHolder;
+import org.skylarkstack.engine.EngineLoad;
+import org.skylarkstack.kernel.ErrorType;
+import org.skylarkstack.kernel.RouterException;
+import org.skylarkstack.membership.Membership;
+import org.skylarkstack.membership.MembershipView;
+import org.skylarkstack.peer.PeerTransport;
+
+/**
+ * Requesting side of placement on one VM.
+ *
+ * <p>
+ * Invariants:
+ * <ul>
+ * <li>A request is pending or placed, never both, and a placed request has one
+ * placement.</li>
+ * <li>Every grant that arrives is the placement of its request, a repetition of it, or is
+ * ended at once.</li>
+ * <li>The end of a placement is sent to each VM that knows the grant until that VM
+ * confirms it or is no longer a member.</li>
+ * </ul>
+ *
+ * <p>
+ * Cases of a pending request: the owner confirms the offer at once and, while the request
+ * waits, periodically. A request whose owner changes is withdrawn there and offered to
+ * the new owner. When no word comes within the answer bound, the request is withdrawn and
+ * this VM decides alone.
+ *
+ * <p>
+ * Not thread-safe; one duty calls it.
+ */
+final class PlacementClient {
+
+	/** Bound for word from the owner before this VM decides alone. */
+	static final long ANSWER_NANOS = 50_000_000L;
+
+	/** The same for batch requests that the owner confirmed once. */
+	static final long BATCH_ANSWER_NANOS = 3 * PlacementOwner.BATCH_CONFIRM_NANOS;
+
+	/** Time without word after which an offer is repeated. */
+	private static final long OFFER_REPEAT_NANOS = 25_000_000L;
+
+	/** Period in which an end is repeated until it is confirmed. */
+	private static final long END_REPEAT_NANOS = 200_000_000L;
+
+	/** Period in which grants are renewed; a third of their term. */
+	private static final long RENEW_NANOS = 3_000_000_000L;
+
+	private final String vmId;
+
+	private final Membership membership;
+
+	private final PeerTransport transport;
+
+	private final RandomGenerator random;
+
+	private final boolean shared;
+
+	private final PlacementPolicies alone;
+
+	private final Map<String, Pending> pending = new LinkedHashMap<>();
+
+	private final Map<String, Placed> placed = new LinkedHashMap<>();
+
+	private final Map<EndKey, UnconfirmedEnd> ends = new LinkedHashMap<>();
+
+	private long renewedNanos;
+
+	/**
+	 * Creates a client.
+	 * @param vmId this VM
+	 * @param membership the live members
+	 * @param transport reaches the owners
+	 * @param configuration names the engines
+	 * @param factory creates policies of the configured kind
+	 * @param fallback creates the policies for deciding alone in place of a shared one
+	 * @param random the source of randomness
+	 */
+	PlacementClient(String vmId, Membership membership, PeerTransport transport, ConfigurationHolder configuration,
+			Supplier<PlacementPolicy> factory, Supplier<PlacementPolicy> fallback, RandomGenerator random) {
+		this.vmId = vmId;
+		this.membership = membership;
+		this.transport = transport;
+		this.random = random;
+		this.shared = factory.get().shared();
+		this.alone = new PlacementPolicies(configuration, this.shared ? fallback : factory);
+	}
+
+	void offer(PlacementRequest request, CompletableFuture<Placement> result, long nowNanos) {
+		Pending entry = new Pending(request, result, nowNanos);
+		if (this.pending.containsKey(request.requestId()) || this.placed.containsKey(request.requestId())) {
+			result.completeExceptionally(
+					new IllegalArgumentException("request %s was offered before".formatted(request.requestId())));
+			return;
+		}
+		this.pending.put(request.requestId(), entry);
+		if (!this.shared) {
+			decideAlone(entry, nowNanos);
+			return;
+		}
+		offerToOwner(entry, nowNanos);
+	}
+
+	private void offerToOwner(Pending entry, long nowNanos) {
+		entry.owner = this.membership.view().softOwner(PlacementOwner.ownerKey(entry.request.model()));
+		entry.heardNanos = nowNanos;
+		entry.confirmed = false;
+		sendOffer(entry, nowNanos);
+	}
+
+	private void sendOffer(Pending entry, long nowNanos) {
+		entry.offeredNanos = nowNanos;
+		this.transport.send(entry.owner,
+				new PlacementOffer(entry.request, this.membership.incarnation(), nowNanos - entry.arrivedNanos));
+	}
+
+	/**
+	 * Withdraws a request whose caller is gone.
+	 * @param requestId the request
+	 * @param nowNanos the present time
+	 */
+	void cancel(String requestId, long nowNanos) {
+		Pending entry = this.pending.remove(requestId);
+		if (entry != null) {
+			withdraw(entry);
+			this.alone.of(entry.request.model(), nowNanos).cancel(requestId, nowNanos);
+		}
+	}
+
+	private void withdraw(Pending entry) {
+		if (!entry.owner.isEmpty()) {
+			this.transport.send(entry.owner, new PlacementCancel(entry.request.requestId(), entry.request.model()));
+		}
+	}
+
+	void release(Placement placement, PlacementRelease release, long nowNanos) {
+		Placed entry = this.placed.remove(placement.requestId());
+		if (entry == null) {
+			return;
+		}
+		if (entry.decidedAlone) {
+			this.alone.of(placement.model(), nowNanos).release(placement.requestId(), entry.grantId, release, nowNanos);
+		}
+		entry.knownTo.forEach((owner) -> end(owner, placement, entry.grantId, release, nowNanos));
+	}
+
+	private void end(String owner, Placement placement, long grantId, PlacementRelease release, long nowNanos) {
+		EndKey key = new EndKey(owner, placement.requestId(), grantId);
+		PlacementEnd message = new PlacementEnd(placement.requestId(), placement.model(), grantId, release);
+		if (this.ends.putIfAbsent(key, new UnconfirmedEnd(message, nowNanos)) == null) {
+			this.transport.send(owner, message);
+		}
+	}
+
+	void confirmed(String from, PlacementReceipt receipt, long nowNanos) {
+		for (String requestId : receipt.requestIds()) {
+			Pending entry = this.pending.get(requestId);
+			if (entry != null && entry.owner.equals(from)) {
+				entry.heardNanos = nowNanos;
+				entry.confirmed = true;
+			}
+		}
+	}
+
+	void granted(String from, PlacementGrant grant, long nowNanos) {
+		Placement placement = grant.placement();
+		Placed known = this.placed.get(placement.requestId());
+		if (known != null && !known.decidedAlone && known.grantId == grant.grantId() && known.owner.equals(from)) {
+			return;
+		}
+		if (this.ends.containsKey(new EndKey(from, placement.requestId(), grant.grantId()))) {
+			return;
+		}
+		Pending entry = this.pending.remove(placement.requestId());
+		if (entry == null) {
+			end(from, placement, grant.grantId(), new PlacementRelease(0, ""), nowNanos);
+			return;
+		}
+		if (!entry.owner.equals(from)) {
+			withdraw(entry);
+		}
+		place(entry, placement, new Placed(entry.request, placement, from, grant.grantId(), false), nowNanos);
+	}
+
+	private void place(Pending entry, Placement placement, Placed result, long nowNanos) {
+		this.placed.put(placement.requestId(), result);
+		if (!entry.result.complete(placement)) {
+			release(placement, new PlacementRelease(0, ""), nowNanos);
+		}
+	}
+
+	void refused(String from, PlacementRefusal refusal) {
+		Pending entry = this.pending.get(refusal.requestId());
+		if (entry != null && entry.owner.equals(from)) {
+			this.pending.remove(refusal.requestId());
+			entry.result.completeExceptionally(error(entry.request, refusal.reason()));
+		}
+	}
+
+	private static RouterException error(PlacementRequest request, ErrorType reason) {
+		Object argument = switch (reason) {
+			case QUEUE_FULL -> request.teamId();
+			case NO_ENGINE -> request.model();
+			default ->
+				(request.requestClass().mayWait() ? request.waitNanos() : SchedulerOptions.DEFAULT.firstTokenNanos())
+						/ 1_000_000L;
+		};
+		return new RouterException(reason, argument);
+	}
+
+	void endConfirmed(String from, PlacementEndReceipt receipt) {
+		this.ends.remove(new EndKey(from, receipt.requestId(), receipt.grantId()));
+	}
+
+	void loadReport(String model, String engineId, EngineLoad load, long readNanos, long nowNanos) {
+		if (!this.shared) {
+			this.alone.of(model, nowNanos).loadReport(engineId, load, readNanos, nowNanos);
+		}
+	}
+
+	/**
+	 * Runs the periodic part: owner changes, missing answers, repeated ends, renewals.
+	 * @param nowNanos the present time
+	 */
+	void step(long nowNanos) {
+		MembershipView view = this.membership.view();
+		for (Pending entry : List.copyOf(this.pending.values())) {
+			if (entry.result.isDone()) {
+				cancel(entry.request.requestId(), nowNanos);
+			}
+			else if (entry.owner.isEmpty()) {
+				decideAlone(entry, nowNanos);
+			}
+			else {
+				follow(entry, view, nowNanos);
+			}
+		}
+		repeatEnds(view, nowNanos);
+		if (this.shared && nowNanos - this.renewedNanos >= RENEW_NANOS) {
+			this.renewedNanos = nowNanos;
+			renew(view);
+		}
+	}
+
+	private void follow(Pending entry, MembershipView view, long nowNanos) {
+		String owner = view.softOwner(PlacementOwner.ownerKey(entry.request.model()));
+		boolean patient = entry.confirmed && entry.request.requestClass().mayWait();
+		if (!owner.equals(entry.owner)) {
+			withdraw(entry);
+			offerToOwner(entry, nowNanos);
+		}
+		else if (nowNanos - entry.heardNanos >= (patient ? BATCH_ANSWER_NANOS : ANSWER_NANOS)) {
+			withdraw(entry);
+			entry.owner = "";
+			decideAlone(entry, nowNanos);
+		}
+		else if (nowNanos - Math.max(entry.heardNanos, entry.offeredNanos) >= (patient
+				? PlacementOwner.BATCH_CONFIRM_NANOS + ANSWER_NANOS : OFFER_REPEAT_NANOS)) {
+			sendOffer(entry, nowNanos);
+		}
+	}
+
+	private void decideAlone(Pending entry, long nowNanos) {
+		PlacementPolicy policy = this.alone.of(entry.request.model(), nowNanos);
+		policy.offer(new OfferedRequest(entry.request, this.vmId, entry.arrivedNanos), nowNanos);
+		for (PlacementDecision decision : policy.poll(nowNanos, this.random)) {
+			Pending decided = this.pending.remove(decision.requestId());
+			if (decided == null) {
+				policy.cancel(decision.requestId(), nowNanos);
+			}
+			else if (decision.placement() != null) {
+				place(decided, decision.placement(),
+						new Placed(decided.request, decision.placement(), "", decision.grantId(), true), nowNanos);
+			}
+			else {
+				ErrorType reason = (decision.refusal() != null) ? decision.refusal() : ErrorType.NO_ENGINE;
+				decided.result.completeExceptionally(error(decided.request, reason));
+			}
+		}
+	}
+
+	private void repeatEnds(MembershipView view, long nowNanos) {
+		this.ends.keySet().removeIf((key) -> !view.isLive(key.owner));
+		this.ends.forEach((key, end) -> {
+			if (nowNanos - end.sentNanos >= END_REPEAT_NANOS) {
+				end.sentNanos = nowNanos;
+				this.transport.send(key.owner, end.message);
+			}
+		});
+	}
+
+	private void renew(MembershipView view) {
+		Map<String, List<HeldPlacement>> byModel = new HashMap<>();
+		for (Placed entry : this.placed.values()) {
+			PlacementRequest request = entry.request;
+			entry.knownTo.add(view.softOwner(PlacementOwner.ownerKey(request.model())));
+			byModel.computeIfAbsent(request.model(), (model) -> new ArrayList<>())
+				.add(new HeldPlacement(request.requestId(), entry.grantId, entry.placement.prefillEngineId(),
+						entry.placement.decodeEngineId(), request.teamId(), request.weight(),
+						PoolScheduler.pieces(request), request.isolated()));
+		}
+		byModel.forEach((model, held) -> this.transport.send(view.softOwner(PlacementOwner.ownerKey(model)),
+				new PlacementRenewal(model, this.membership.incarnation(), held)));
+	}
+
+	/**
+	 * Returns the number of requests without an answer.
+	 * @return the count
+	 */
+	int pendingCount() {
+		return this.pending.size();
+	}
+
+	/**
+	 * Returns the number of ends that no owner has confirmed.
+	 * @return the count
+	 */
+	int unconfirmedEnds() {
+		return this.ends.size();
+	}
+
+	private static final class Pending {
+
+		private final PlacementRequest request;
+
+		private final CompletableFuture<Placement> result;
+
+		private final long arrivedNanos;
+
+		/** The VM that the request was offered to; empty if this VM decides alone. */
+		private String owner = "";
+
+		private long heardNanos;
+
+		private long offeredNanos;
+
+		private boolean confirmed;
+
+		Pending(PlacementRequest request, CompletableFuture<Placement> result, long arrivedNanos) {
+			this.request = request;
+			this.result = result;
+			this.arrivedNanos = arrivedNanos;
+		}
+
+	}
+
+	private static final class Placed {
+
+		private final PlacementRequest request;
+
+		private final Placement placement;
+
+		private final String owner;
+
+		private final long grantId;
+
+		private final boolean decidedAlone;
+
+		private final Set<String> knownTo = new LinkedHashSet<>();
+
+		Placed(PlacementRequest request, Placement placement, String owner, long grantId, boolean decidedAlone) {
+			this.request = request;
+			this.placement = placement;
+			this.owner = owner;
+			this.grantId = grantId;
+			this.decidedAlone = decidedAlone;
+			if (!decidedAlone) {
+				this.knownTo.add(owner);
+			}
+		}
+
+	}
+
+	private static final class UnconfirmedEnd {
+
+		private final PlacementEnd message;
+
+		private long sentNanos;
+
+		UnconfirmedEnd(PlacementEnd message, long sentNanos) {
+			this.message = message;
+			this.sentNanos = sentNanos;
+		}
+
+	}
+
+	private record EndKey(String owner, String requestId, long grantId) {
+
+	}
+
+}
--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/schedule/SoftOwnerPlacer.java
@@ -0,0 +1,197 @@
+package org.skylarkstack.schedule;
+
+import java.time.Duration;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+
+import org.skylarkstack.configuration.ConfigurationHolder;
+import org.skylarkstack.engine.EngineLoad;
+import org.skylarkstack.kernel.Duty;
+import org.skylarkstack.kernel.ErrorType;
+import org.skylarkstack.kernel.RouterException;
+import org.skylarkstack.kernel.Verdict;
+import org.skylarkstack.membership.Membership;
+import org.skylarkstack.membership.MembershipView;
+import org.skylarkstack.misc.TimeSource;
+import org.skylarkstack.peer.PeerTransport;
+
+/**
+ * Placer that asks the soft owner of the model, and serves as the soft owner of others.
+ * The state is in {@link PlacementClient} and {@link PlacementOwner}; only the duty's
+ * thread touches it.
+ */
+public final class SoftOwnerPlacer implements Placer, AutoCloseable {
+
+	private static final int RING_MESSAGES = 16_384;
+
+	private static final Duration STEP = Duration.ofMillis(5);
+
+	private static final long RING_FULL_PARK_NANOS = 100_000L;
+
+	private final PlacementClient client;
+
+	private final PlacementOwner owner;
+
+	private final Membership membership;
+
+	private final ConfigurationHolder configuration;
+
+	private final TimeSource time;
+
+	private final Duty<Runnable> duty;
+
+	private final boolean shared;
+
+	private final Set<String> busyModels = ConcurrentHashMap.newKeySet();
+
+	/**
+	 * Creates a placer; {@link #start()} starts its duty.
+	 * @param vmId this VM
+	 * @param membership the live members
+	 * @param transport reaches the other daemons
+	 * @param configuration names the engines
+	 * @param factory creates policies of the configured kind
+	 * @param random the source of randomness; used by the duty only
+	 * @param time the time source
+	 */
+	public SoftOwnerPlacer(String vmId, Membership membership, PeerTransport transport,
+			ConfigurationHolder configuration, Supplier<PlacementPolicy> factory, RandomGenerator random,
+			TimeSource time) {
+		this.membership = membership;
+		this.configuration = configuration;
+		this.time = time;
+		this.shared = factory.get().shared();
+		this.client = new PlacementClient(vmId, membership, transport, configuration, factory, TwoChoicesPolicy::new,
+				random);
+		this.owner = new PlacementOwner(membership, transport, configuration, factory, random);
+		this.duty = new Duty<>("placement", RING_MESSAGES, STEP, Runnable::run, this::step);
+		handle(transport);
+	}
+
+	private void handle(PeerTransport transport) {
+		transport.handle(PlacementOffer.class,
+				(from, message) -> this.duty.offer(() -> this.owner.offered(from, message, this.time.nanos())));
+		transport.handle(PlacementCancel.class,
+				(from, message) -> this.duty.offer(() -> this.owner.cancelled(message, this.time.nanos())));
+		transport.handle(PlacementEnd.class,
+				(from, message) -> this.duty.offer(() -> this.owner.ended(from, message, this.time.nanos())));
+		transport.handle(PlacementRenewal.class,
+				(from, message) -> this.duty.offer(() -> this.owner.renewed(from, message, this.time.nanos())));
+		transport.handle(PlacementReceipt.class,
+				(from, message) -> this.duty.offer(() -> this.client.confirmed(from, message, this.time.nanos())));
+		transport.handle(PlacementGrant.class,
+				(from, message) -> this.duty.offer(() -> this.client.granted(from, message, this.time.nanos())));
+		transport.handle(PlacementRefusal.class,
+				(from, message) -> this.duty.offer(() -> this.client.refused(from, message)));
+		transport.handle(PlacementEndReceipt.class,
+				(from, message) -> this.duty.offer(() -> this.client.endConfirmed(from, message)));
+	}
+
+	/** Starts the duty. */
+	public void start() {
+		this.duty.start();
+	}
+
+	private void step() {
+		long now = this.time.nanos();
+		this.client.step(now);
+		this.owner.step(now);
+		for (String model : this.configuration.current().models()) {
+			if (this.owner.isBusy(model, now)) {
+				this.busyModels.add(model);
+			}
+			else {
+				this.busyModels.remove(model);
+			}
+		}
+	}
+
+	@Override
+	public CompletableFuture<Placement> offer(PlacementRequest request) {
+		CompletableFuture<Placement> result = new CompletableFuture<>();
+		boolean accepted = this.duty.offer(() -> this.client.offer(request, result, this.time.nanos()));
+		if (!accepted) {
+			result.completeExceptionally(new RouterException(ErrorType.TOO_MANY_REQUESTS));
+		}
+		return result;
+	}
+
+	@Override
+	public Placement place(PlacementRequest request) {
+		CompletableFuture<Placement> result = offer(request);
+		try {
+			return result.get();
+		}
+		catch (InterruptedException ex) {
+			if (!result.cancel(true) && !result.isCompletedExceptionally()) {
+				release(result.join(), new PlacementRelease(0, ""));
+			}
+			Thread.currentThread().interrupt();
+			throw RouterException.of(ErrorType.NOT_READY, Verdict.NOT_RUN, ex);
+		}
+		catch (ExecutionException ex) {
+			if (ex.getCause() instanceof RouterException refused) {
+				throw refused;
+			}
+			throw RouterException.of(ErrorType.INTERNAL, Verdict.NOT_RUN, ex);
+		}
+	}
+
+	/**
+	 * Gives the engines of a request back. Waits while the ring is full, because a lost
+	 * release would hold engine memory until the grant's term ends.
+	 */
+	@Override
+	public void release(Placement placement, PlacementRelease release) {
+		while (!this.duty.offer(() -> this.client.release(placement, release, this.time.nanos()))) {
+			LockSupport.parkNanos(RING_FULL_PARK_NANOS);
+		}
+	}
+
+	/**
+	 * Returns whether this VM needs the load reports of a model: it is the soft owner,
+	 * schedules requests of the model although it is not, or decides alone.
+	 * @param model the model
+	 * @return whether it needs them
+	 */
+	public boolean needsLoad(String model) {
+		MembershipView view = this.membership.view();
+		return !this.shared || this.busyModels.contains(model)
+				|| view.softOwner(PlacementOwner.ownerKey(model)).equals(view.self());
+	}
+
+	/**
+	 * Takes a load report.
+	 * @param model the model
+	 * @param engineId the engine
+	 * @param load the report
+	 * @param readNanos when the report was requested from the engine
+	 */
+	public void loadReport(String model, String engineId, EngineLoad load, long readNanos) {
+		this.duty.offer(() -> {
+			long now = this.time.nanos();
+			this.owner.loadReport(model, engineId, load, readNanos, now);
+			this.client.loadReport(model, engineId, load, readNanos, now);
+		});
+	}
+
+	/**
+	 * Takes an event of an engine's prefix cache.
+	 * @param model the model of the engine
+	 * @param event the event
+	 */
+	public void cacheEvent(String model, CacheEvent event) {
+		this.duty.offer(() -> this.owner.cacheEvent(model, event, this.time.nanos()));
+	}
+
+	@Override
+	public void close() {
+		this.duty.close();
+	}
+
+}
