Wire the soft-owner placer and the load polling into the daemon

Cause: the daemon used the placer that decides alone. Change: DaemonModule provides SoftOwnerPlacer and LoadPolling; membership and transport are those of a single daemon until their packages replace them. Conclusion: two provider methods, membership and peers, remain to replace.

--- a/daemon/src/main/java/org/skylarkstack/daemon/Daemon.java
+++ b/daemon/src/main/java/org/skylarkstack/daemon/Daemon.java
@@ -10,6 +10,8 @@
 import org.skylarkstack.configuration.TicketLog;
 import org.skylarkstack.http.CallerApi;
 import org.skylarkstack.http.OperatorApi;
+import org.skylarkstack.schedule.LoadPolling;
+import org.skylarkstack.schedule.SoftOwnerPlacer;
 import org.skylarkstack.settings.DaemonSettings;
 import org.skylarkstack.settings.ListenAddress;
 import org.skylarkstack.store.StoreException;
@@ -34,6 +36,10 @@
 
 	private final TicketLog tickets;
 
+	private final SoftOwnerPlacer placer;
+
+	private final LoadPolling loadPolling;
+
 	private final ScheduledExecutorService poller = Executors
 		.newSingleThreadScheduledExecutor((task) -> new Thread(task, "ticket-poll"));
 
@@ -47,13 +53,18 @@
 	 * @param callerApi the API for callers
 	 * @param operatorApi the API for operators
 	 * @param tickets the ticket log
+	 * @param placer finds engines
+	 * @param loadPolling polls the engines' load
 	 */
 	@Inject
-	public Daemon(DaemonSettings settings, CallerApi callerApi, OperatorApi operatorApi, TicketLog tickets) {
+	public Daemon(DaemonSettings settings, CallerApi callerApi, OperatorApi operatorApi, TicketLog tickets,
+			SoftOwnerPlacer placer, LoadPolling loadPolling) {
 		this.settings = settings;
 		this.callerApi = callerApi;
 		this.operatorApi = operatorApi;
 		this.tickets = tickets;
+		this.placer = placer;
+		this.loadPolling = loadPolling;
 		this.callerServer = Javalin.create((config) -> {
 			config.startup.showJavalinBanner = false;
 			this.callerApi.register(config);
@@ -78,6 +89,8 @@
 	private void run() {
 		ListenAddress caller = this.settings.callerAddress();
 		ListenAddress operator = this.settings.operatorAddress();
+		this.placer.start();
+		this.loadPolling.start();
 		this.callerServer.start(caller.host(), caller.port());
 		this.operatorServer.start(operator.host(), operator.port());
 		this.poller.scheduleWithFixedDelay(this::poll, 0, TICKET_POLL_MILLIS, TimeUnit.MILLISECONDS);
@@ -119,6 +132,8 @@
 		this.poller.shutdownNow();
 		this.callerServer.stop();
 		this.operatorServer.stop();
+		this.loadPolling.close();
+		this.placer.close();
 	}
 
 }
--- a/daemon/src/main/java/org/skylarkstack/daemon/DaemonModule.java
+++ b/daemon/src/main/java/org/skylarkstack/daemon/DaemonModule.java
@@ -2,6 +2,7 @@
 
 import java.security.SecureRandom;
 import java.time.Duration;
+import java.util.SplittableRandom;
 
 import dagger.Module;
 import dagger.Provides;
@@ -14,12 +15,17 @@
 import org.skylarkstack.http.Authenticator;
 import org.skylarkstack.http.CallerApi;
 import org.skylarkstack.http.OperatorApi;
+import org.skylarkstack.kernel.PluginRegistry;
 import org.skylarkstack.limit.LocalTeamLimiter;
 import org.skylarkstack.limit.TeamLimiter;
+import org.skylarkstack.membership.Membership;
 import org.skylarkstack.misc.TimeSource;
+import org.skylarkstack.peer.PeerTransport;
 import org.skylarkstack.request.RequestPipeline;
-import org.skylarkstack.schedule.LocalPlacer;
+import org.skylarkstack.schedule.LoadPolling;
+import org.skylarkstack.schedule.PlacementPolicy;
 import org.skylarkstack.schedule.Placer;
+import org.skylarkstack.schedule.SoftOwnerPlacer;
 import org.skylarkstack.settings.DaemonSettings;
 import org.skylarkstack.store.DynamoTableStore;
 import org.skylarkstack.store.TableStore;
@@ -59,8 +65,41 @@
 
 	@Provides
 	@Singleton
-	static Placer placer(ConfigurationHolder configuration) {
-		return new LocalPlacer(configuration);
+	static Membership membership(DaemonSettings settings) {
+		return new SingleMembership(settings.vmId(), settings.dataCentre(), new SecureRandom().nextLong());
+	}
+
+	@Provides
+	@Singleton
+	static PeerTransport peers(DaemonSettings settings) {
+		return new SelfPeerTransport(settings.vmId());
+	}
+
+	@Provides
+	@Singleton
+	static PluginRegistry plugins() {
+		return PluginRegistry.load();
+	}
+
+	@Provides
+	@Singleton
+	static SoftOwnerPlacer softOwnerPlacer(DaemonSettings settings, Membership membership, PeerTransport peers,
+			ConfigurationHolder configuration, PluginRegistry plugins) {
+		return new SoftOwnerPlacer(settings.vmId(), membership, peers, configuration,
+				() -> plugins.create(PlacementPolicy.class, settings.placementPolicy()),
+				new SplittableRandom(membership.incarnation()), TimeSource.system());
+	}
+
+	@Provides
+	@Singleton
+	static Placer placer(SoftOwnerPlacer placer) {
+		return placer;
+	}
+
+	@Provides
+	@Singleton
+	static LoadPolling loadPolling(ConfigurationHolder configuration, EngineClient engines, SoftOwnerPlacer placer) {
+		return new LoadPolling(configuration, engines, placer, TimeSource.system());
 	}
 
 	@Provides
@@ -74,10 +113,10 @@
 
 	@Provides
 	@Singleton
-	static RequestPipeline pipeline(DaemonSettings settings, ConfigurationHolder configuration, TeamLimiter limiter,
-			Placer placer, EngineClient engines) {
-		return new RequestPipeline(settings.vmId(), new SecureRandom().nextLong(), configuration, limiter, placer,
-				engines, TimeSource.system());
+	static RequestPipeline pipeline(DaemonSettings settings, Membership membership, ConfigurationHolder configuration,
+			TeamLimiter limiter, Placer placer, EngineClient engines) {
+		return new RequestPipeline(settings.vmId(), membership.incarnation(), configuration, limiter, placer, engines,
+				TimeSource.system());
 	}
 
 	@Provides
