--- /dev/null
+++ b/bench/src/main/java/org/skylarkstack/bench/ModelledRequest.java
@@ -0,0 +1,70 @@
+package org.skylarkstack.bench;
+
+import org.skylarkstack.schedule.PlacementRequest;
+
+/**
+ * Request of the policy experiment with its measured times.
+ */
+final class ModelledRequest {
+
+	final PlacementRequest request;
+
+	final String vmId;
+
+	final long arrivedNanos;
+
+	final int outputTokens;
+
+	long grantId;
+
+	String prefillEngineId = "";
+
+	String decodeEngineId = "";
+
+	boolean prefilled;
+
+	long prefillEndNanos;
+
+	long firstTokenNanos;
+
+	long lastTokenNanos;
+
+	int tokens;
+
+	int slowGaps;
+
+	boolean finished;
+
+	ModelledRequest(PlacementRequest request, String vmId, long arrivedNanos, int outputTokens) {
+		this.request = request;
+		this.vmId = vmId;
+		this.arrivedNanos = arrivedNanos;
+		this.outputTokens = outputTokens;
+	}
+
+	int pieces() {
+		return (this.request.promptTokens() + this.request.maxOutputTokens() + 1_999) / 2_000;
+	}
+
+	boolean isInteractive() {
+		return !this.request.requestClass().mayWait();
+	}
+
+	/**
+	 * Returns whether an interactive request met both latency targets, or a batch request
+	 * was whole by its deadline.
+	 * @param firstTokenNanos the first-token target
+	 * @return whether it did
+	 */
+	boolean isGood(long firstTokenNanos) {
+		if (!this.finished) {
+			return false;
+		}
+		if (isInteractive()) {
+			return this.firstTokenNanos - this.arrivedNanos <= firstTokenNanos
+					&& this.slowGaps * 20 <= this.outputTokens;
+		}
+		return this.lastTokenNanos - this.arrivedNanos <= this.request.waitNanos();
+	}
+
+}
--- a/runtime/src/main/java/org/skylarkstack/schedule/OraclePolicy.java
+++ b/runtime/src/main/java/org/skylarkstack/schedule/OraclePolicy.java
@@ -19,6 +19,9 @@
 
 	private @Nullable TrueEngineState state;
 
+	/** Time at which a batch request found no room; later ones find none either. */
+	private long batchBlockedNanos = Long.MIN_VALUE;
+
 	/**
 	 * Sets the source of the true state. Without it every request is refused.
 	 * @param source the source
@@ -43,6 +46,9 @@
 		if (nowNanos > deadline) {
 			return PlacementDecision.refuse(offered, ErrorType.DEADLINE_UNREACHABLE);
 		}
+		if (batch && this.batchBlockedNanos == nowNanos) {
+			return null;
+		}
 		EngineNode bestPrefill = null;
 		EngineNode bestDecode = null;
 		long bestNanos = Long.MAX_VALUE;
@@ -57,9 +63,14 @@
 			}
 		}
 		if (bestPrefill == null || bestDecode == null || (!batch && bestNanos > deadline)) {
+			this.batchBlockedNanos = batch ? nowNanos : this.batchBlockedNanos;
 			return null;
 		}
-		return grant(offered, bestPrefill, bestDecode);
+		PlacementDecision decision = grant(offered, bestPrefill, bestDecode);
+		if (decision.placement() != null) {
+			truth.placed(decision.placement());
+		}
+		return decision;
 	}
 
 	private long firstToken(PlacementRequest request, EngineNode prefill, EngineNode decode, TrueEngineState truth,
--- a/runtime/src/main/java/org/skylarkstack/schedule/TrueEngineState.java
+++ b/runtime/src/main/java/org/skylarkstack/schedule/TrueEngineState.java
@@ -34,4 +34,10 @@
 	 */
 	int freePieces(String engineId);
 
+	/**
+	 * Takes a placement into the state at once.
+	 * @param placement the placement
+	 */
+	void placed(Placement placement);
+
 }
