Let batch prefills use all prefill engines

Cause: batch requests used at most half of the prefill engines, one of three in the meals-8 pool, so summaries waited while prefill engines were idle. Change: batchMaxPrefillShare 0.5 -> 1.0.

--- a/runtime/src/main/java/org/skylarkstack/schedule/SchedulerOptions.java
+++ b/runtime/src/main/java/org/skylarkstack/schedule/SchedulerOptions.java
@@ -45,6 +45,6 @@
 	/** Values for the deployments of the design page. */
 	public static final SchedulerOptions DEFAULT = new SchedulerOptions(520 * MILLIS, 25 * MILLIS, 75 * MILLIS,
 			8 * MILLIS, 25 * MILLIS, 2.5, 200_000, 100_000, 2 * MILLIS, 800 * MILLIS, 150 * MILLIS, 3_000 * MILLIS,
-			1_000 * MILLIS, 30_000 * MILLIS, 10_000 * MILLIS, 30_000 * MILLIS, 2, 0.5, 512, 8_192, 16_384);
+			1_000 * MILLIS, 30_000 * MILLIS, 10_000 * MILLIS, 30_000 * MILLIS, 2, 1.0, 512, 8_192, 16_384);
 
 }
