--- /dev/null
+++ b/bench/src/main/java/org/skylarkstack/bench/LedgerCheck.java
@@ -0,0 +1,92 @@
+package org.skylarkstack.bench;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Ledger of one team over all VMs in real time, checked after a run.
+ *
+ * <p>
+ * For each window the reservations less refunds must be at most rate x t + burst. The
+ * largest excess of all windows that end at an event follows from the excess at the event
+ * before, so that one pass checks every window.
+ */
+final class LedgerCheck {
+
+	private static final double NANOS_PER_SECOND = 1e9;
+
+	private static final double ROUNDING_TOKENS = 0.01;
+
+	private final List<Entry> entries = new ArrayList<>();
+
+	private final List<Limits> limits = new ArrayList<>();
+
+	void record(long realNanos, double tokens) {
+		this.entries.add(new Entry(realNanos, tokens));
+	}
+
+	/**
+	 * Adds limits that were in force on some VM.
+	 * @param fromNanos when the first VM learned them
+	 * @param untilNanos when the last VM had replaced them, the last grants included
+	 * @param tokensPerSecond the rate in tokens a second of real time
+	 * @param burstTokens the burst in tokens
+	 */
+	void limits(long fromNanos, long untilNanos, double tokensPerSecond, double burstTokens) {
+		this.limits.add(new Limits(fromNanos, untilNanos, tokensPerSecond, burstTokens));
+	}
+
+	/**
+	 * Checks every window against the limits that were in force somewhere in it: over the
+	 * whole run the highest ones, and in each period with one set of limits exactly
+	 * these.
+	 * @return the first violation
+	 */
+	Optional<String> violation() {
+		double rate = this.limits.stream().mapToDouble(Limits::tokensPerSecond).max().orElse(0);
+		double burst = this.limits.stream().mapToDouble(Limits::burstTokens).max().orElse(0);
+		Optional<String> whole = violation(new Limits(Long.MIN_VALUE, Long.MAX_VALUE, rate, burst));
+		if (whole.isPresent()) {
+			return whole;
+		}
+		for (int index = 0; index < this.limits.size(); index++) {
+			Limits present = this.limits.get(index);
+			long from = (index > 0) ? this.limits.get(index - 1).untilNanos() : Long.MIN_VALUE;
+			long until = (index + 1 < this.limits.size()) ? this.limits.get(index + 1).fromNanos() : Long.MAX_VALUE;
+			Optional<String> found = violation(
+					new Limits(from, until, present.tokensPerSecond(), present.burstTokens()));
+			if (found.isPresent()) {
+				return found;
+			}
+		}
+		return Optional.empty();
+	}
+
+	private Optional<String> violation(Limits bound) {
+		double excess = 0;
+		long last = 0;
+		for (Entry entry : this.entries) {
+			if (entry.realNanos() < bound.fromNanos() || entry.realNanos() >= bound.untilNanos()) {
+				continue;
+			}
+			double drained = (entry.realNanos() - last) / NANOS_PER_SECOND * bound.tokensPerSecond();
+			excess = Math.max(0, excess - drained) + entry.tokens();
+			last = entry.realNanos();
+			if (excess > bound.burstTokens() + ROUNDING_TOKENS) {
+				return Optional.of("at %.3f s a window exceeds rate x t + burst by %.2f of %.0f tokens"
+					.formatted(last / NANOS_PER_SECOND, excess - bound.burstTokens(), bound.burstTokens()));
+			}
+		}
+		return Optional.empty();
+	}
+
+	private record Entry(long realNanos, double tokens) {
+
+	}
+
+	private record Limits(long fromNanos, long untilNanos, double tokensPerSecond, double burstTokens) {
+
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/org/skylarkstack/bench/LimitSimulation.java
@@ -0,0 +1,239 @@
+package org.skylarkstack.bench;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+import org.jspecify.annotations.Nullable;
+import org.skylarkstack.configuration.Team;
+import org.skylarkstack.limit.LendingTerms;
+import org.skylarkstack.peer.PeerMessage;
+
+/**
+ * Fleet of VMs with lending limits in simulated time. One seed fixes all delays, faults
+ * and clock rates.
+ */
+final class LimitSimulation {
+
+	static final long SECOND = 1_000_000_000L;
+
+	/**
+	 * Default loan and grant terms; the slot lease is short, so that leases run out
+	 * within a run.
+	 */
+	static final LendingTerms SHORT_LEASE = new LendingTerms(20 * SECOND, 4 * SECOND, SECOND, 5 * SECOND, 2 * SECOND,
+			0.01, 8_000_000L);
+
+	/** Two clocks differ by at most twice this share, which is within the allowance. */
+	static final double CLOCK_DRIFT = 0.0045;
+
+	private final EventQueue events = new EventQueue();
+
+	private final RandomGenerator random;
+
+	private final SimulatedStore store;
+
+	private final Map<String, SimulatedVm> vms = new LinkedHashMap<>();
+
+	private final Set<String> cuts = new HashSet<>();
+
+	private final Map<String, Long> lastDue = new HashMap<>();
+
+	private final Map<String, LedgerCheck> ledgers = new HashMap<>();
+
+	private final int slotCount;
+
+	private final LendingTerms terms;
+
+	private final long longestDelayNanos;
+
+	private long reserved;
+
+	private long refused;
+
+	LimitSimulation(long seed, int vmCount, int slotCount, LendingTerms terms, double storeFaultShare,
+			long longestDelayNanos) {
+		this.terms = terms;
+		this.random = new Random(seed);
+		this.slotCount = slotCount;
+		this.longestDelayNanos = longestDelayNanos;
+		this.store = new SimulatedStore(this.events, this.random, storeFaultShare);
+		for (int index = 0; index < vmCount; index++) {
+			double rate = 1 + CLOCK_DRIFT * (2 * this.random.nextDouble() - 1);
+			String vmId = "vm-" + index;
+			this.vms.put(vmId, new SimulatedVm(vmId, this, rate, this.random.nextLong(SECOND * 1_000_000)));
+		}
+	}
+
+	EventQueue events() {
+		return this.events;
+	}
+
+	RandomGenerator random() {
+		return this.random;
+	}
+
+	SimulatedStore store() {
+		return this.store;
+	}
+
+	LendingTerms terms() {
+		return this.terms;
+	}
+
+	int slotCount() {
+		return this.slotCount;
+	}
+
+	List<String> vmIds() {
+		return List.copyOf(this.vms.keySet());
+	}
+
+	SimulatedVm vm(int index) {
+		return new ArrayList<>(this.vms.values()).get(index);
+	}
+
+	LedgerCheck ledger(String teamId) {
+		return this.ledgers.computeIfAbsent(teamId, (id) -> new LedgerCheck());
+	}
+
+	long reservedRequests() {
+		return this.reserved;
+	}
+
+	long refusedRequests() {
+		return this.refused;
+	}
+
+	/**
+	 * Sets a team on all VMs, each after a delay of its own.
+	 * @param id the team
+	 * @param team the new limits, or {@code null} if the team is deleted
+	 * @param longestNanos the longest delay
+	 */
+	void configure(String id, @Nullable Team team, long longestNanos) {
+		for (SimulatedVm vm : this.vms.values()) {
+			long delay = (longestNanos > 0) ? this.random.nextLong(longestNanos) : 0;
+			this.events.after(delay, () -> vm.team(id, team));
+		}
+	}
+
+	void cut(String first, String second, boolean isCut) {
+		for (String link : List.of(first + ' ' + second, second + ' ' + first)) {
+			if (isCut) {
+				this.cuts.add(link);
+			}
+			else {
+				this.cuts.remove(link);
+			}
+		}
+	}
+
+	void cutOneWay(String from, String to, boolean isCut) {
+		if (isCut) {
+			this.cuts.add(from + ' ' + to);
+		}
+		else {
+			this.cuts.remove(from + ' ' + to);
+		}
+	}
+
+	void send(String from, String to, PeerMessage message) {
+		String link = from + ' ' + to;
+		SimulatedVm receiver = this.vms.get(to);
+		if (receiver == null || this.cuts.contains(link)) {
+			return;
+		}
+		long due = Math.max(this.lastDue.getOrDefault(link, 0L),
+				this.events.now() + this.random.nextLong(this.longestDelayNanos) + 1);
+		this.lastDue.put(link, due);
+		this.events.at(due, () -> {
+			if (!this.cuts.contains(link)) {
+				receiver.deliver(from, message);
+			}
+		});
+	}
+
+	/**
+	 * Sends a request of a caller to a VM. A reservation is settled after a while and
+	 * enters the ledger in real time.
+	 * @param vm the VM
+	 * @param teamId the team
+	 * @param tokens the tokens to reserve
+	 * @param used the tokens used
+	 * @param heldNanos the time until settlement
+	 * @param observer learns what happened
+	 */
+	void request(SimulatedVm vm, String teamId, long tokens, long used, long heldNanos, Observer observer) {
+		vm.request(teamId, tokens, new RequestEnd() {
+
+			@Override
+			public void reserved(long incarnation) {
+				LimitSimulation.this.reserved++;
+				ledger(teamId).record(LimitSimulation.this.events.now(), tokens);
+				observer.changed(LimitSimulation.this.events.now(), tokens);
+				LimitSimulation.this.events.after(heldNanos, () -> {
+					if (used < tokens && vm.settle(incarnation, teamId, tokens - used)) {
+						ledger(teamId).record(LimitSimulation.this.events.now(), used - tokens);
+						observer.changed(LimitSimulation.this.events.now(), used - tokens);
+					}
+				});
+			}
+
+			@Override
+			public void refused() {
+				LimitSimulation.this.refused++;
+				observer.refused(LimitSimulation.this.events.now(), tokens);
+			}
+		});
+	}
+
+	Optional<String> violation() {
+		return this.ledgers.entrySet()
+			.stream()
+			.flatMap((entry) -> entry.getValue().violation().map((text) -> entry.getKey() + " " + text).stream())
+			.findFirst();
+	}
+
+	/**
+	 * End of a request.
+	 */
+	interface RequestEnd {
+
+		void reserved(long incarnation);
+
+		void refused();
+
+	}
+
+	/**
+	 * Learns what happens to requests.
+	 */
+	interface Observer {
+
+		/** Ignores everything. */
+		Observer NONE = new Observer() {
+
+			@Override
+			public void changed(long realNanos, double tokens) {
+			}
+
+			@Override
+			public void refused(long realNanos, long tokens) {
+			}
+		};
+
+		void changed(long realNanos, double tokens);
+
+		void refused(long realNanos, long tokens);
+
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/org/skylarkstack/bench/SimulatedVm.java
@@ -0,0 +1,310 @@
+package org.skylarkstack.bench;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.function.Function;
+
+import org.jspecify.annotations.Nullable;
+import org.skylarkstack.configuration.Team;
+import org.skylarkstack.limit.ReserveOutcome;
+import org.skylarkstack.limit.ShardSet;
+import org.skylarkstack.limit.SlotClaimer;
+import org.skylarkstack.limit.TokenGrant;
+import org.skylarkstack.limit.TokenLending;
+import org.skylarkstack.limit.TokenRequest;
+import org.skylarkstack.limit.TokenReturn;
+import org.skylarkstack.membership.Heartbeat;
+import org.skylarkstack.membership.LoanOffer;
+import org.skylarkstack.membership.Member;
+import org.skylarkstack.membership.MemberState;
+import org.skylarkstack.membership.MembershipTable;
+import org.skylarkstack.membership.MembershipTerms;
+import org.skylarkstack.membership.MembershipView;
+import org.skylarkstack.membership.PeerStatus;
+import org.skylarkstack.peer.PeerMessage;
+import org.skylarkstack.store.StoreException;
+
+/**
+ * VM of a simulation: a clock of its own and, while its daemon runs, membership, slot and
+ * lending state. A paused VM's clock goes on; its events wait until it runs again.
+ */
+final class SimulatedVm {
+
+	private static final long TICK_NANOS = 100_000_000L;
+
+	private static final long LONGEST_STEP_NANOS = 400_000_000L;
+
+	private final String vmId;
+
+	private final LimitSimulation fleet;
+
+	private final double clockRate;
+
+	private final long clockOffset;
+
+	private final Map<String, Team> teams = new HashMap<>();
+
+	private final Map<Long, Waiting> waiting = new HashMap<>();
+
+	private long incarnation;
+
+	private long pausedUntil;
+
+	private @Nullable Daemon daemon;
+
+	SimulatedVm(String vmId, LimitSimulation fleet, double clockRate, long clockOffset) {
+		this.vmId = vmId;
+		this.fleet = fleet;
+		this.clockRate = clockRate;
+		this.clockOffset = clockOffset;
+	}
+
+	String vmId() {
+		return this.vmId;
+	}
+
+	private long clock() {
+		return this.clockOffset + (long) (this.fleet.events().now() * this.clockRate);
+	}
+
+	boolean isUp() {
+		return this.daemon != null;
+	}
+
+	boolean isPaused() {
+		return this.fleet.events().now() < this.pausedUntil;
+	}
+
+	void pause(long nanos) {
+		this.pausedUntil = Math.max(this.pausedUntil, this.fleet.events().now() + nanos);
+	}
+
+	void start() {
+		this.incarnation = this.fleet.random().nextLong();
+		this.waiting.clear();
+		Daemon started = new Daemon(this.incarnation);
+		this.daemon = started;
+		long first = this.fleet.random().nextLong(TICK_NANOS);
+		repeat(started, first, TICK_NANOS, started::tick);
+		repeat(started, first, MembershipTerms.DEFAULT.shortestPeriodNanos(), started::beat);
+	}
+
+	private void repeat(Daemon owner, long firstNanos, long periodNanos, Runnable action) {
+		this.fleet.events().after(firstNanos, () -> whenRunning(() -> {
+			if (this.daemon == owner) {
+				action.run();
+				repeat(owner, periodNanos, periodNanos, action);
+			}
+		}));
+	}
+
+	void crash() {
+		this.daemon = null;
+		this.pausedUntil = 0;
+	}
+
+	void stop() {
+		Daemon current = this.daemon;
+		if (current != null && !isPaused()) {
+			current.lending.slot(null, clock());
+			try {
+				current.slots.release();
+			}
+			catch (StoreException ex) {
+				// The lease runs out instead.
+			}
+		}
+		crash();
+	}
+
+	private void whenRunning(Runnable action) {
+		if (isPaused()) {
+			this.fleet.events().at(this.pausedUntil, () -> whenRunning(action));
+		}
+		else {
+			action.run();
+		}
+	}
+
+	void deliver(String from, PeerMessage message) {
+		whenRunning(() -> {
+			Daemon current = this.daemon;
+			if (current != null) {
+				current.receive(from, message);
+			}
+		});
+	}
+
+	void team(String id, @Nullable Team team) {
+		if (team == null) {
+			this.teams.remove(id);
+		}
+		else {
+			this.teams.put(id, team);
+		}
+		whenRunning(() -> {
+			if (this.daemon != null) {
+				this.daemon.lending.limitsChanged(clock());
+			}
+		});
+	}
+
+	void request(String teamId, long tokens, LimitSimulation.RequestEnd end) {
+		whenRunning(() -> {
+			if (this.daemon == null || this.teams.get(teamId) == null) {
+				return;
+			}
+			Waiting request = new Waiting(teamId, tokens, end, clock() + this.fleet.terms().grantWaitNanos());
+			attempt(this.daemon, request);
+		});
+	}
+
+	private void attempt(Daemon current, Waiting request) {
+		Team team = this.teams.get(request.teamId());
+		if (current != this.daemon || team == null) {
+			return;
+		}
+		long now = clock();
+		ReserveOutcome outcome = current.lending.tryReserve(team, request.tokens(), request.deadline() - now > 0, now);
+		switch (outcome.kind()) {
+			case RESERVED -> request.end().reserved(current.incarnation);
+			case REFUSED -> request.end().refused();
+			case ASKED -> {
+				this.waiting.put(outcome.requestId(), request);
+				long left = (long) ((request.deadline() - now) / this.clockRate) + 1;
+				this.fleet.events().after(left, () -> whenRunning(() -> answered(current, outcome.requestId())));
+			}
+		}
+	}
+
+	private void answered(Daemon current, long requestId) {
+		Waiting request = (current == this.daemon) ? this.waiting.remove(requestId) : null;
+		if (request != null) {
+			current.lending.forget(requestId);
+			attempt(current, request);
+		}
+	}
+
+	// Refunds nothing if the daemon that made the reservation is gone or paused.
+	boolean settle(long reservedBy, String teamId, long unused) {
+		Daemon current = this.daemon;
+		if (current == null || current.incarnation != reservedBy || isPaused()) {
+			return false;
+		}
+		current.lending.refund(teamId, unused, clock());
+		return true;
+	}
+
+	private record Waiting(String teamId, long tokens, LimitSimulation.RequestEnd end, long deadline) {
+
+	}
+
+	/**
+	 * State of one start.
+	 */
+	private final class Daemon {
+
+		private final long incarnation;
+
+		private final MembershipTable membership;
+
+		private final TokenLending lending;
+
+		private final SlotClaimer slots;
+
+		private @Nullable MembershipView view;
+
+		Daemon(long incarnation) {
+			LimitSimulation fleet = SimulatedVm.this.fleet;
+			this.incarnation = incarnation;
+			List<String> peers = fleet.vmIds().stream().filter((id) -> !id.equals(SimulatedVm.this.vmId)).toList();
+			this.membership = new MembershipTable(new Member(SimulatedVm.this.vmId, incarnation, "dc", false), peers,
+					MembershipTerms.DEFAULT);
+			Function<String, @Nullable Team> limits = SimulatedVm.this.teams::get;
+			this.lending = new TokenLending(SimulatedVm.this.vmId, incarnation, fleet.slotCount(), fleet.terms(),
+					fleet.random().nextLong(), limits, this::answers,
+					(to, message) -> fleet.send(SimulatedVm.this.vmId, to, message));
+			this.lending.onAnswer((requestId) -> fleet.events().after(0, () -> answered(this, requestId)));
+			this.slots = new SlotClaimer(fleet.store(), SimulatedVm.this.vmId, incarnation, fleet.slotCount(),
+					fleet.terms(), fleet.random(), clock());
+		}
+
+		private boolean answers(String peer, long nowNanos) {
+			PeerStatus status = this.membership.peer(peer).orElse(null);
+			return status != null && status.state() == MemberState.LIVE && status.echoed()
+					&& nowNanos - status.lastEchoNanos() <= this.membership.liveNanos();
+		}
+
+		void tick() {
+			long now = clock();
+			this.membership.advance(now);
+			if (now - this.slots.nextStepNanos() >= 0) {
+				// The store answers late: the time before the step is older than the
+				// effect.
+				long late = SimulatedVm.this.fleet.random().nextLong(LONGEST_STEP_NANOS);
+				SimulatedVm.this.fleet.events().after(late, () -> whenRunning(() -> stepSlot(now)));
+			}
+			this.lending.tick(now);
+			refreshView();
+		}
+
+		private void stepSlot(long startedNanos) {
+			if (SimulatedVm.this.daemon != this || startedNanos - this.slots.nextStepNanos() < 0) {
+				return;
+			}
+			try {
+				this.slots.step(startedNanos);
+			}
+			catch (StoreException ex) {
+				// The next step goes on.
+			}
+			this.lending.slot(this.slots.lease().orElse(null), clock());
+		}
+
+		void beat() {
+			for (String peer : SimulatedVm.this.fleet.vmIds()) {
+				if (!peer.equals(SimulatedVm.this.vmId)) {
+					long now = clock();
+					PeerStatus status = this.membership.peer(peer).orElse(null);
+					LoanOffer loan = (status != null && status.state() == MemberState.LIVE)
+							? this.lending.offer(peer, status.member().incarnation(), now) : null;
+					SimulatedVm.this.fleet.send(SimulatedVm.this.vmId, peer,
+							this.membership.heartbeatFor(peer, 0, loan, now));
+				}
+			}
+		}
+
+		void receive(String from, PeerMessage message) {
+			long now = clock();
+			if (message instanceof Heartbeat heartbeat) {
+				if (this.membership.heartbeat(from, heartbeat, now) && heartbeat.loan() != null
+						&& heartbeat.echoIncarnation() == this.incarnation) {
+					this.lending.accept(from, heartbeat.incarnation(), Objects.requireNonNull(heartbeat.loan()),
+							heartbeat.echoNanos(), now);
+				}
+				refreshView();
+			}
+			else if (message instanceof TokenRequest request) {
+				this.lending.onRequest(from, request, now);
+			}
+			else if (message instanceof TokenGrant grant) {
+				this.lending.onGrant(from, grant, now);
+			}
+			else if (message instanceof TokenReturn returned) {
+				this.lending.onReturn(from, returned, now);
+			}
+		}
+
+		private void refreshView() {
+			MembershipView next = this.membership.view();
+			if (!next.equals(this.view)) {
+				this.view = next;
+				this.lending.owners(ShardSet.owners(next));
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/org/skylarkstack/bench/StaticShares.java
@@ -0,0 +1,46 @@
+package org.skylarkstack.bench;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.skylarkstack.configuration.Team;
+import org.skylarkstack.kernel.RouterException;
+import org.skylarkstack.limit.LocalTeamLimiter;
+import org.skylarkstack.limit.TokenReservation;
+
+/**
+ * Baseline: each VM has a fixed share of the team's rate and burst.
+ */
+final class StaticShares implements RefusalScenario.Target {
+
+	private final EventQueue events;
+
+	private final Team team;
+
+	private final List<LocalTeamLimiter> limiters = new ArrayList<>();
+
+	StaticShares(EventQueue events, Team team, int vms) {
+		this.events = events;
+		this.team = team;
+		for (int vm = 0; vm < vms; vm++) {
+			this.limiters.add(new LocalTeamLimiter(1.0 / vms));
+		}
+	}
+
+	@Override
+	public void request(int vm, long tokens, long used, long heldNanos, LimitSimulation.Observer observer) {
+		LocalTeamLimiter limiter = this.limiters.get(vm);
+		try {
+			TokenReservation reservation = limiter.reserve(this.team, tokens, this.events.now());
+			observer.changed(this.events.now(), tokens);
+			this.events.after(heldNanos, () -> {
+				limiter.settle(reservation, used, this.events.now());
+				observer.changed(this.events.now(), used - tokens);
+			});
+		}
+		catch (RouterException ex) {
+			observer.refused(this.events.now(), tokens);
+		}
+	}
+
+}
--- a/bench/src/main/java/org/skylarkstack/fleet/LocalFleet.java
+++ b/bench/src/main/java/org/skylarkstack/fleet/LocalFleet.java
@@ -84,6 +84,8 @@
 			.findFirst()
 			.orElseThrow(() -> new IllegalArgumentException("VM %s is not planned".formatted(vmId)));
 		this.daemons.put(vmId, Daemon.start(settings(self)));
+		this.platform.vmList().remove(vmId);
+		this.platform.vmList().add(vmId);
 	}
 
 	private DaemonSettings settings(PeerSettings self) {
@@ -103,6 +105,7 @@
 	 */
 	public void stopDaemon(String vmId) {
 		Optional.ofNullable(this.daemons.remove(vmId)).ifPresent(Daemon::close);
+		this.platform.vmList().remove(vmId);
 	}
 
 	/**
--- /dev/null
+++ b/bench/src/test/java/org/skylarkstack/bench/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Tests of the experiments.
+ */
+@NullMarked
+package org.skylarkstack.bench;
+
+import org.jspecify.annotations.NullMarked;
--- a/daemon/src/main/java/org/skylarkstack/daemon/Daemon.java
+++ b/daemon/src/main/java/org/skylarkstack/daemon/Daemon.java
@@ -10,6 +10,9 @@
 import org.skylarkstack.configuration.TicketLog;
 import org.skylarkstack.http.CallerApi;
 import org.skylarkstack.http.OperatorApi;
+import org.skylarkstack.limit.LendingTeamLimiter;
+import org.skylarkstack.membership.MembershipService;
+import org.skylarkstack.peer.TcpPeerTransport;
 import org.skylarkstack.settings.DaemonSettings;
 import org.skylarkstack.settings.ListenAddress;
 import org.skylarkstack.store.StoreException;
@@ -34,6 +37,12 @@
 
 	private final TicketLog tickets;
 
+	private final TcpPeerTransport transport;
+
+	private final MembershipService membership;
+
+	private final LendingTeamLimiter limiter;
+
 	private final ScheduledExecutorService poller = Executors
 		.newSingleThreadScheduledExecutor((task) -> new Thread(task, "ticket-poll"));
 
@@ -47,13 +56,20 @@
 	 * @param callerApi the API for callers
 	 * @param operatorApi the API for operators
 	 * @param tickets the ticket log
+	 * @param transport the peer transport
+	 * @param membership the membership
+	 * @param limiter the teams' limits
 	 */
 	@Inject
-	public Daemon(DaemonSettings settings, CallerApi callerApi, OperatorApi operatorApi, TicketLog tickets) {
+	public Daemon(DaemonSettings settings, CallerApi callerApi, OperatorApi operatorApi, TicketLog tickets,
+			TcpPeerTransport transport, MembershipService membership, LendingTeamLimiter limiter) {
 		this.settings = settings;
 		this.callerApi = callerApi;
 		this.operatorApi = operatorApi;
 		this.tickets = tickets;
+		this.transport = transport;
+		this.membership = membership;
+		this.limiter = limiter;
 		this.callerServer = Javalin.create((config) -> {
 			config.startup.showJavalinBanner = false;
 			this.callerApi.register(config);
@@ -78,6 +94,9 @@
 	private void run() {
 		ListenAddress caller = this.settings.callerAddress();
 		ListenAddress operator = this.settings.operatorAddress();
+		this.transport.start();
+		this.membership.start();
+		this.limiter.start();
 		this.callerServer.start(caller.host(), caller.port());
 		this.operatorServer.start(operator.host(), operator.port());
 		this.poller.scheduleWithFixedDelay(this::poll, 0, TICKET_POLL_MILLIS, TimeUnit.MILLISECONDS);
@@ -106,6 +125,22 @@
 		return this.callerServer.port();
 	}
 
+	/**
+	 * Returns the peer transport, for counters and fault switches.
+	 * @return the transport
+	 */
+	public TcpPeerTransport transport() {
+		return this.transport;
+	}
+
+	/**
+	 * Returns the membership.
+	 * @return the service
+	 */
+	public MembershipService membership() {
+		return this.membership;
+	}
+
 	/**
 	 * Returns the port for operators.
 	 * @return the port
@@ -116,9 +151,13 @@
 
 	@Override
 	public void close() {
+		this.membership.leave();
 		this.poller.shutdownNow();
 		this.callerServer.stop();
 		this.operatorServer.stop();
+		this.limiter.close();
+		this.membership.close();
+		this.transport.close();
 	}
 
 }
--- a/daemon/src/main/java/org/skylarkstack/daemon/DaemonModule.java
+++ b/daemon/src/main/java/org/skylarkstack/daemon/DaemonModule.java
@@ -2,6 +2,7 @@
 
 import java.security.SecureRandom;
 import java.time.Duration;
+import java.util.SplittableRandom;
 
 import dagger.Module;
 import dagger.Provides;
@@ -14,13 +15,22 @@
 import org.skylarkstack.http.Authenticator;
 import org.skylarkstack.http.CallerApi;
 import org.skylarkstack.http.OperatorApi;
-import org.skylarkstack.limit.LocalTeamLimiter;
-import org.skylarkstack.limit.TeamLimiter;
+import org.skylarkstack.kernel.PluginRegistry;
+import org.skylarkstack.limit.LendingTeamLimiter;
+import org.skylarkstack.limit.LendingTerms;
+import org.skylarkstack.membership.HttpPlatformVmList;
+import org.skylarkstack.membership.Member;
+import org.skylarkstack.membership.MembershipService;
+import org.skylarkstack.membership.MembershipTerms;
 import org.skylarkstack.misc.TimeSource;
+import org.skylarkstack.peer.PeerCodec;
+import org.skylarkstack.peer.TcpPeerTransport;
+import org.skylarkstack.peer.TransportBounds;
 import org.skylarkstack.request.RequestPipeline;
 import org.skylarkstack.schedule.LocalPlacer;
 import org.skylarkstack.schedule.Placer;
 import org.skylarkstack.settings.DaemonSettings;
+import org.skylarkstack.settings.PeerSettings;
 import org.skylarkstack.store.DynamoTableStore;
 import org.skylarkstack.store.TableStore;
 
@@ -51,10 +61,41 @@
 		return new TicketLog(store, configuration);
 	}
 
+	private static long periodNanos(DaemonSettings settings) {
+		return MembershipTerms.DEFAULT.periodNanos(settings.peers().size() + 1);
+	}
+
+	@Provides
+	@Singleton
+	static PluginRegistry plugins() {
+		return PluginRegistry.load();
+	}
+
+	@Provides
+	@Singleton
+	static TcpPeerTransport peerTransport(DaemonSettings settings, PluginRegistry plugins) {
+		return new TcpPeerTransport(settings.vmId(), settings.peerAddress(), settings.peers(), settings.sharedSecret(),
+				new PeerCodec(plugins), TransportBounds.forPeriod(periodNanos(settings)), TimeSource.system(),
+				new SplittableRandom());
+	}
+
+	@Provides
+	@Singleton
+	static MembershipService membership(DaemonSettings settings, TcpPeerTransport transport,
+			ConfigurationHolder configuration) {
+		Member self = new Member(settings.vmId(), new SecureRandom().nextLong(), settings.dataCentre(), false);
+		return new MembershipService(self, settings.peers().stream().map(PeerSettings::vmId).toList(),
+				MembershipTerms.DEFAULT, transport, new HttpPlatformVmList(settings.platform()),
+				() -> configuration.current().appliedNumber(), TimeSource.system());
+	}
+
 	@Provides
 	@Singleton
-	static TeamLimiter limiter(DaemonSettings settings) {
-		return new LocalTeamLimiter(1.0 / settings.slotCount());
+	static LendingTeamLimiter limiter(DaemonSettings settings, MembershipService membership, TcpPeerTransport transport,
+			TableStore store, ConfigurationHolder configuration) {
+		LendingTerms terms = LendingTerms.forPeriod(periodNanos(settings));
+		return new LendingTeamLimiter(settings.vmId(), settings.slotCount(), terms, membership, transport, store,
+				configuration, TimeSource.system(), new SecureRandom());
 	}
 
 	@Provides
@@ -74,10 +115,10 @@
 
 	@Provides
 	@Singleton
-	static RequestPipeline pipeline(DaemonSettings settings, ConfigurationHolder configuration, TeamLimiter limiter,
-			Placer placer, EngineClient engines) {
-		return new RequestPipeline(settings.vmId(), new SecureRandom().nextLong(), configuration, limiter, placer,
-				engines, TimeSource.system());
+	static RequestPipeline pipeline(DaemonSettings settings, MembershipService membership,
+			ConfigurationHolder configuration, LendingTeamLimiter limiter, Placer placer, EngineClient engines) {
+		return new RequestPipeline(settings.vmId(), membership.incarnation(), configuration, limiter, placer, engines,
+				TimeSource.system());
 	}
 
 	@Provides
--- a/runtime/src/main/java/org/skylarkstack/kernel/ErrorType.java
+++ b/runtime/src/main/java/org/skylarkstack/kernel/ErrorType.java
@@ -45,6 +45,10 @@
 	/** The daemon is shutting down or not ready. */
 	NOT_READY(1107, 503, "overloaded_error", Verdict.NOT_RUN, "this VM is not ready"),
 
+	/** The request needs more tokens than the team's burst and can never be admitted. */
+	REQUEST_ABOVE_BURST(1108, 400, "invalid_request_error", Verdict.NOT_RUN,
+			"the request needs %s tokens, but the burst of team %s is %s tokens"),
+
 	/** A keyed non-idempotent request cannot be claimed while the store is down. */
 	CLAIM_UNAVAILABLE(1201, 503, "overloaded_error", Verdict.NOT_RUN,
 			"the idempotency key cannot be claimed while the store is unavailable"),
--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/limit/GrantStock.java
@@ -0,0 +1,228 @@
+package org.skylarkstack.limit;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+
+/**
+ * Borrower side of one team: grants that this VM holds and its recent demand.
+ *
+ * <p>
+ * Invariant: tokens of a grant are spent only before the grant's end, which is counted
+ * from this VM's own timestamp of the request, so that the borrower always stops before
+ * the owner takes the grant for spent. Not thread-safe.
+ */
+final class GrantStock {
+
+	private static final double NANOS_PER_SECOND = 1e9;
+
+	/** Time over which demand is averaged. */
+	private static final double DEMAND_SECONDS = 1;
+
+	/** Demand below this many tokens a second is none. */
+	private static final double NO_DEMAND = 1;
+
+	private static final Comparator<Held> BY_END = Comparator.comparingLong((held) -> held.endNanos);
+
+	private final List<Held> grants = new ArrayList<>();
+
+	private final Map<String, List<GrantBalance>> spent = new HashMap<>();
+
+	private double demand;
+
+	private long demandNanos;
+
+	private long refusedTokens = Long.MAX_VALUE;
+
+	private long refusedUntilNanos;
+
+	private long waitUntilNanos;
+
+	private boolean asking;
+
+	private long askedNanos;
+
+	GrantStock(long nowNanos) {
+		this.demandNanos = nowNanos;
+		this.refusedUntilNanos = nowNanos;
+		this.waitUntilNanos = nowNanos;
+	}
+
+	void add(String owner, long grantId, long tokens, long endNanos, long nowNanos) {
+		if (endNanos - nowNanos > 0) {
+			this.grants.add(new Held(owner, grantId, tokens, endNanos));
+			this.grants.sort(BY_END);
+		}
+	}
+
+	long available(long nowNanos) {
+		this.grants.removeIf((held) -> nowNanos - held.endNanos >= 0);
+		long tokens = 0;
+		for (Held held : this.grants) {
+			tokens += held.tokens;
+		}
+		return tokens;
+	}
+
+	/**
+	 * Takes tokens, those that end first first. The caller has checked that they are
+	 * available now.
+	 * @param tokens the tokens
+	 */
+	void take(long tokens) {
+		long missing = tokens;
+		for (Iterator<Held> all = this.grants.iterator(); all.hasNext() && missing > 0;) {
+			Held held = all.next();
+			long taken = Math.min(missing, held.tokens);
+			held.tokens -= taken;
+			missing -= taken;
+			if (held.tokens == 0) {
+				spent(held);
+				all.remove();
+			}
+			else {
+				held.changed = true;
+			}
+		}
+	}
+
+	private void spent(Held held) {
+		this.spent.computeIfAbsent(held.owner, (owner) -> new ArrayList<>()).add(new GrantBalance(held.grantId, 0));
+	}
+
+	/**
+	 * Returns the balances of an owner's grants that changed since the last report.
+	 * @param owner the VM that granted
+	 * @return the balances, each to be reported once
+	 */
+	List<GrantBalance> report(String owner) {
+		List<GrantBalance> balances = new ArrayList<>(Optional.ofNullable(this.spent.remove(owner)).orElse(List.of()));
+		for (Held held : this.grants) {
+			if (held.changed && held.owner.equals(owner)) {
+				balances.add(new GrantBalance(held.grantId, held.tokens));
+				held.changed = false;
+			}
+		}
+		return balances;
+	}
+
+	/**
+	 * Returns the owners to which something is to be reported or returned.
+	 * @return the VMs
+	 */
+	Set<String> owners() {
+		Set<String> owners = new TreeSet<>(this.spent.keySet());
+		this.grants.forEach((held) -> owners.add(held.owner));
+		return owners;
+	}
+
+	boolean hasReport() {
+		return !this.spent.isEmpty() || this.grants.stream().anyMatch((held) -> held.changed);
+	}
+
+	/**
+	 * Removes what will probably not be spent before it ends.
+	 * @param owner the VM that granted
+	 * @param lateNanos the rest of the term at which a grant is judged
+	 * @param nowNanos the monotonic time in nanoseconds
+	 * @return the tokens removed; they must be returned to the owner
+	 */
+	long surrender(String owner, long lateNanos, long nowNanos) {
+		long available = available(nowNanos);
+		long surplus = available - (long) Math.ceil(demand(nowNanos) * lateNanos / NANOS_PER_SECOND);
+		long removed = 0;
+		for (Iterator<Held> all = this.grants.iterator(); all.hasNext();) {
+			Held held = all.next();
+			if (held.owner.equals(owner) && held.endNanos - nowNanos <= lateNanos && held.tokens <= surplus - removed) {
+				removed += held.tokens;
+				spent(held);
+				all.remove();
+			}
+		}
+		return removed;
+	}
+
+	void demanded(long tokens, long nowNanos) {
+		this.demand = demand(nowNanos) + tokens / DEMAND_SECONDS;
+		this.demandNanos = nowNanos;
+	}
+
+	double demand(long nowNanos) {
+		double elapsed = (nowNanos - this.demandNanos) / NANOS_PER_SECOND;
+		return this.demand * Math.exp(-elapsed / DEMAND_SECONDS);
+	}
+
+	/**
+	 * Remembers a refusal of the owner, so that requests that would be refused too do not
+	 * ask again at once.
+	 * @param tokens the tokens refused
+	 * @param waitNanos the wait that the owner stated
+	 * @param quietNanos the time for which the owner is not asked again
+	 * @param nowNanos the monotonic time in nanoseconds
+	 */
+	void refused(long tokens, long waitNanos, long quietNanos, long nowNanos) {
+		boolean stillQuiet = nowNanos - this.refusedUntilNanos < 0;
+		this.refusedTokens = stillQuiet ? Math.min(tokens, this.refusedTokens) : tokens;
+		this.refusedUntilNanos = nowNanos + Math.min(quietNanos, waitNanos / 2);
+		this.waitUntilNanos = nowNanos + waitNanos;
+	}
+
+	boolean refuses(long tokens, long nowNanos) {
+		return tokens >= this.refusedTokens && nowNanos - this.refusedUntilNanos < 0;
+	}
+
+	long waitNanos(long nowNanos) {
+		return Math.max(0, this.waitUntilNanos - nowNanos);
+	}
+
+	void asking(boolean isAsking, long nowNanos) {
+		this.asking = isAsking;
+		this.askedNanos = nowNanos;
+	}
+
+	/**
+	 * Returns whether an answer to a request in advance is still to come.
+	 * @param longestNanos the time after which the answer counts as lost
+	 * @param nowNanos the monotonic time in nanoseconds
+	 * @return whether to wait for it
+	 */
+	boolean isAsking(long longestNanos, long nowNanos) {
+		return this.asking && nowNanos - this.askedNanos < longestNanos;
+	}
+
+	boolean isIdle(long nowNanos) {
+		return available(nowNanos) == 0 && !hasReport() && demand(nowNanos) < NO_DEMAND
+				&& nowNanos - this.refusedUntilNanos >= 0;
+	}
+
+	/**
+	 * Grant held here.
+	 */
+	private static final class Held {
+
+		private final String owner;
+
+		private final long grantId;
+
+		private final long endNanos;
+
+		private long tokens;
+
+		private boolean changed;
+
+		Held(String owner, long grantId, long tokens, long endNanos) {
+			this.owner = owner;
+			this.grantId = grantId;
+			this.tokens = tokens;
+			this.endNanos = endNanos;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/limit/LendingTeamLimiter.java
@@ -0,0 +1,317 @@
+package org.skylarkstack.limit;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.random.RandomGenerator;
+
+import org.jspecify.annotations.Nullable;
+import org.skylarkstack.configuration.ConfigurationHolder;
+import org.skylarkstack.configuration.Team;
+import org.skylarkstack.kernel.ErrorType;
+import org.skylarkstack.kernel.RouterException;
+import org.skylarkstack.membership.LoanExchange;
+import org.skylarkstack.membership.LoanOffer;
+import org.skylarkstack.membership.MemberState;
+import org.skylarkstack.membership.MembershipService;
+import org.skylarkstack.membership.MembershipView;
+import org.skylarkstack.membership.PeerStatus;
+import org.skylarkstack.misc.TimeSource;
+import org.skylarkstack.peer.PeerTransport;
+import org.skylarkstack.store.StoreException;
+import org.skylarkstack.store.TableStore;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Limiter that lends rate slices to soft owners and borrows token grants from them. The
+ * decisions are in {@link TokenLending} and {@link SlotClaimer}; this class adds the
+ * lock, the clock, the threads and the bounded wait for a grant.
+ */
+public final class LendingTeamLimiter implements TeamLimiter, LoanExchange, AutoCloseable {
+
+	private static final Logger LOG = LoggerFactory.getLogger(LendingTeamLimiter.class);
+
+	private static final long TICK_MILLIS = 50;
+
+	private static final long SLOT_POLL_MILLIS = 100;
+
+	private static final long JOIN_SECONDS = 2;
+
+	private final Object lock = new Object();
+
+	private final LendingTerms terms;
+
+	private final TokenLending lending;
+
+	private final SlotClaimer slots;
+
+	private final ConfigurationHolder configuration;
+
+	private final MembershipService membership;
+
+	private final TimeSource time;
+
+	private final Map<Long, CountDownLatch> waiting = new HashMap<>();
+
+	private final ScheduledExecutorService ticker;
+
+	private final ScheduledExecutorService slotKeeper;
+
+	private volatile Map<String, PeerStatus> peers = Map.of();
+
+	private volatile boolean released;
+
+	/**
+	 * Creates a limiter; {@link #start()} starts its threads.
+	 * @param vmId this VM
+	 * @param slotCount the number of rate slots of the fleet
+	 * @param terms the time bounds
+	 * @param membership the live members, whose heartbeats carry the loans
+	 * @param transport sends requests and grants
+	 * @param store holds the rate slots
+	 * @param configuration the teams' limits
+	 * @param time the time source
+	 * @param random the source of jitter and of grant numbers
+	 */
+	public LendingTeamLimiter(String vmId, int slotCount, LendingTerms terms, MembershipService membership,
+			PeerTransport transport, TableStore store, ConfigurationHolder configuration, TimeSource time,
+			RandomGenerator random) {
+		this.terms = terms;
+		this.membership = membership;
+		this.configuration = configuration;
+		this.time = time;
+		this.lending = new TokenLending(vmId, membership.incarnation(), slotCount, terms, random.nextLong(), this::team,
+				this::answers, transport::send);
+		this.slots = new SlotClaimer(store, vmId, membership.incarnation(), slotCount, terms, random, time.nanos());
+		this.ticker = Executors.newSingleThreadScheduledExecutor((task) -> new Thread(task, "limit-tick-" + vmId));
+		this.slotKeeper = Executors.newSingleThreadScheduledExecutor((task) -> new Thread(task, "rate-slot-" + vmId));
+		this.lending.onAnswer(this::wakeUp);
+		transport.handle(TokenRequest.class, this::onRequest);
+		transport.handle(TokenGrant.class, this::onGrant);
+		transport.handle(TokenReturn.class, this::onReturn);
+		membership.loans(this);
+		membership.onViewChange(this::viewChanged);
+		configuration.onChange((changed) -> limitsChanged());
+	}
+
+	/** Starts the threads. Call it after the peer port is bound and before requests. */
+	public void start() {
+		viewChanged(this.membership.view());
+		this.ticker.scheduleWithFixedDelay(this::tick, 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
+		this.slotKeeper.scheduleWithFixedDelay(this::keepSlot, 0, SLOT_POLL_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	private @Nullable Team team(String id) {
+		return this.configuration.current().team(id).orElse(null);
+	}
+
+	private boolean answers(String peer, long nowNanos) {
+		PeerStatus status = this.peers.get(peer);
+		return status != null && status.state() == MemberState.LIVE && status.echoed()
+				&& nowNanos - status.lastEchoNanos() <= this.membership.liveNanos();
+	}
+
+	private void refreshPeers() {
+		Map<String, PeerStatus> statuses = new HashMap<>();
+		this.membership.peers().forEach((status) -> statuses.put(status.member().vmId(), status));
+		this.peers = statuses;
+	}
+
+	private void viewChanged(MembershipView view) {
+		List<String> owners = ShardSet.owners(view);
+		refreshPeers();
+		synchronized (this.lock) {
+			this.lending.owners(owners);
+		}
+	}
+
+	private void limitsChanged() {
+		synchronized (this.lock) {
+			this.lending.limitsChanged(this.time.nanos());
+		}
+	}
+
+	private void tick() {
+		try {
+			refreshPeers();
+			synchronized (this.lock) {
+				this.lending.tick(this.time.nanos());
+			}
+		}
+		catch (RuntimeException ex) {
+			LOG.atError().addKeyValue("event", "limit_tick_failed").setCause(ex).log();
+		}
+	}
+
+	private void keepSlot() {
+		long now = this.time.nanos();
+		if (this.released || now - this.slots.nextStepNanos() < 0) {
+			return;
+		}
+		try {
+			this.slots.step(now);
+		}
+		catch (StoreException ex) {
+			LOG.atWarn()
+				.addKeyValue("event", "rate_slot_step_failed")
+				.addKeyValue("effect", ex.effect())
+				.addKeyValue("reason", ex.getMessage())
+				.log();
+		}
+		catch (RuntimeException ex) {
+			LOG.atError().addKeyValue("event", "rate_slot_step_failed").setCause(ex).log();
+		}
+		synchronized (this.lock) {
+			this.lending.slot(this.slots.lease().orElse(null), this.time.nanos());
+		}
+	}
+
+	@Override
+	public TokenReservation reserve(Team team, long tokens, long nowNanos) {
+		Team limits = team(team.id());
+		if (limits == null) {
+			throw new RouterException(ErrorType.UNAUTHENTICATED);
+		}
+		if (tokens > limits.burstTokens()) {
+			throw new RouterException(ErrorType.REQUEST_ABOVE_BURST, tokens, team.id(), limits.burstTokens());
+		}
+		long deadline = nowNanos + this.terms.grantWaitNanos();
+		long now = nowNanos;
+		while (true) {
+			CountDownLatch answer = new CountDownLatch(1);
+			ReserveOutcome outcome;
+			synchronized (this.lock) {
+				outcome = this.lending.tryReserve(limits, tokens, deadline - now > 0, now);
+				if (outcome.kind() == ReserveOutcome.Kind.ASKED) {
+					this.waiting.put(outcome.requestId(), answer);
+				}
+			}
+			switch (outcome.kind()) {
+				case RESERVED -> {
+					return new TokenReservation(team.id(), tokens);
+				}
+				case REFUSED -> {
+					if (outcome.waitNanos() > deadline - now) {
+						throw refusal(team, outcome.waitNanos());
+					}
+					LockSupport.parkNanos(this, outcome.waitNanos());
+				}
+				case ASKED -> await(answer, deadline - now);
+			}
+			now = this.time.nanos();
+			synchronized (this.lock) {
+				this.waiting.remove(outcome.requestId());
+				this.lending.forget(outcome.requestId());
+			}
+		}
+	}
+
+	private static RouterException refusal(Team team, long waitNanos) {
+		return RouterException.retryAfter(ErrorType.RATE_LIMITED, Duration.ofNanos(waitNanos), team.id());
+	}
+
+	private static void await(CountDownLatch answer, long nanos) {
+		try {
+			answer.await(nanos, TimeUnit.NANOSECONDS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	@Override
+	public void settle(TokenReservation reservation, long usedTokens, long nowNanos) {
+		if (reservation.markSettled()) {
+			synchronized (this.lock) {
+				this.lending.refund(reservation.teamId(), reservation.tokens() - Math.max(0, usedTokens), nowNanos);
+			}
+		}
+	}
+
+	private void onRequest(String from, TokenRequest request) {
+		synchronized (this.lock) {
+			this.lending.onRequest(from, request, this.time.nanos());
+		}
+	}
+
+	private void onGrant(String from, TokenGrant grant) {
+		synchronized (this.lock) {
+			this.lending.onGrant(from, grant, this.time.nanos());
+		}
+	}
+
+	private void wakeUp(long requestId) {
+		CountDownLatch answer = this.waiting.get(requestId);
+		if (answer != null) {
+			answer.countDown();
+		}
+	}
+
+	private void onReturn(String from, TokenReturn returned) {
+		synchronized (this.lock) {
+			this.lending.onReturn(from, returned, this.time.nanos());
+		}
+	}
+
+	@Override
+	public @Nullable LoanOffer offer(String peer, long incarnation, long nowNanos) {
+		synchronized (this.lock) {
+			return this.lending.offer(peer, incarnation, nowNanos);
+		}
+	}
+
+	@Override
+	public void accept(String lender, long incarnation, LoanOffer offer, long countedFromNanos, long nowNanos) {
+		synchronized (this.lock) {
+			this.lending.accept(lender, incarnation, offer, countedFromNanos, nowNanos);
+		}
+	}
+
+	/**
+	 * Returns the rate slot that this VM holds, for operators.
+	 * @return the number of the slot, or -1 if it holds none that is usable now
+	 */
+	public int slot() {
+		synchronized (this.lock) {
+			return this.lending.usableSlot(this.time.nanos());
+		}
+	}
+
+	/** Stops using and lending the slice and returns the slot to the store. */
+	@Override
+	public void close() {
+		this.released = true;
+		this.ticker.shutdownNow();
+		synchronized (this.lock) {
+			this.lending.slot(null, this.time.nanos());
+		}
+		this.slotKeeper.execute(this::release);
+		this.slotKeeper.shutdown();
+		try {
+			this.slotKeeper.awaitTermination(JOIN_SECONDS, TimeUnit.SECONDS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private void release() {
+		synchronized (this.lock) {
+			this.lending.slot(null, this.time.nanos());
+		}
+		try {
+			this.slots.release();
+		}
+		catch (StoreException ex) {
+			LOG.atWarn().addKeyValue("event", "rate_slot_not_returned").addKeyValue("reason", ex.getMessage()).log();
+		}
+	}
+
+}
--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/limit/LendingTerms.java
@@ -0,0 +1,49 @@
+package org.skylarkstack.limit;
+
+/**
+ * Time bounds of slots, loans and grants. All are in nanoseconds.
+ *
+ * @param slotLeaseNanos the lease of a rate slot
+ * @param slotRenewalNanos the time between two renewals of a slot
+ * @param slotRetryNanos the time between two tries while no slot is held
+ * @param loanTermNanos the term of a loan
+ * @param grantTermNanos the term of a token grant
+ * @param driftShare the allowance for clock drift as a share of each term
+ * @param grantWaitNanos the longest time that a reservation waits for a grant
+ */
+public record LendingTerms(long slotLeaseNanos, long slotRenewalNanos, long slotRetryNanos, long loanTermNanos,
+		long grantTermNanos, double driftShare, long grantWaitNanos) {
+
+	private static final long NANOS_PER_SECOND = 1_000_000_000L;
+
+	private static final long SHORTEST_LOAN_SECONDS = 5;
+
+	/** Checks that a loan outlasts the grants that it backs. */
+	public LendingTerms {
+		if (loanTermNanos <= grantTermNanos * (1 + driftShare)) {
+			throw new IllegalArgumentException("the loan term must be longer than the grant term");
+		}
+	}
+
+	/**
+	 * Returns the default terms for a fleet.
+	 * @param heartbeatPeriodNanos the heartbeat period in nanoseconds
+	 * @return the terms
+	 */
+	public static LendingTerms forPeriod(long heartbeatPeriodNanos) {
+		return new LendingTerms(4 * 3600 * NANOS_PER_SECOND, 300 * NANOS_PER_SECOND, 2 * NANOS_PER_SECOND,
+				Math.max(SHORTEST_LOAN_SECONDS * NANOS_PER_SECOND, 3 * heartbeatPeriodNanos), 2 * NANOS_PER_SECOND,
+				0.01, 8_000_000L);
+	}
+
+	/**
+	 * Returns a term with the allowance for clock drift, as the side counts it that must
+	 * not stop first.
+	 * @param termNanos the term in nanoseconds
+	 * @return the longer term in nanoseconds
+	 */
+	public long extended(long termNanos) {
+		return termNanos + (long) Math.ceil(termNanos * this.driftShare);
+	}
+
+}
--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/limit/ShardPool.java
@@ -0,0 +1,278 @@
+package org.skylarkstack.limit;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+
+import org.jspecify.annotations.Nullable;
+import org.skylarkstack.configuration.Team;
+
+/**
+ * Owner side of one shard: the slices pooled here and the tokens of its teams.
+ *
+ * <p>
+ * Invariants:
+ * <ul>
+ * <li>A part counts from its arrival until its cut, which is one extended grant term
+ * before its loan ends. Every grant that a part has backed is therefore out of term when
+ * the loan ends, and at that time level + outstanding &lt;= the bound of the remaining
+ * parts.</li>
+ * <li>A new part adds no tokens; they accrue from then on. A part that is extended before
+ * its cut keeps its start, one that was cut starts anew.</li>
+ * <li>A team without a ledger holds, for each part, what has accrued since the part's
+ * start, up to the part's burst. A ledger is dropped only when it holds no more than
+ * that, so that dropping creates no tokens.</li>
+ * <li>Ledgers of deleted teams stay until they are full at their last limits, so that a
+ * team that is set again soon does not start with a second burst.</li>
+ * </ul>
+ * Not thread-safe.
+ */
+final class ShardPool {
+
+	private static final double NANOS_PER_SECOND = 1e9;
+
+	/** Differences below this come from rounding and are no tokens. */
+	private static final double ROUNDING = 1e-6;
+
+	private final LendingTerms terms;
+
+	private final double sliceShare;
+
+	private final Map<String, Part> parts = new HashMap<>();
+
+	private final Map<String, TeamLedger> ledgers = new HashMap<>();
+
+	private long nextCutNanos;
+
+	ShardPool(LendingTerms terms, int slotCount) {
+		this.terms = terms;
+		this.sliceShare = 1.0 / slotCount;
+	}
+
+	private double share() {
+		return this.parts.size() * this.sliceShare;
+	}
+
+	boolean hasParts(long nowNanos) {
+		advance(nowNanos);
+		return !this.parts.isEmpty();
+	}
+
+	boolean hasPart(String lender, long nowNanos) {
+		advance(nowNanos);
+		return this.parts.containsKey(lender);
+	}
+
+	boolean isIdle() {
+		return this.parts.isEmpty() && this.ledgers.isEmpty();
+	}
+
+	/**
+	 * Adds a part or extends it.
+	 * @param lender the lending VM, or this VM for its own slice
+	 * @param incarnation the lender's incarnation
+	 * @param endNanos when the loan ends
+	 * @param nowNanos the monotonic time in nanoseconds
+	 */
+	void addPart(String lender, long incarnation, long endNanos, long nowNanos) {
+		advance(nowNanos);
+		long cutNanos = endNanos - this.terms.extended(this.terms.grantTermNanos());
+		if (cutNanos - nowNanos <= 0) {
+			return;
+		}
+		Part former = this.parts.get(lender);
+		if (former != null && former.incarnation() != incarnation) {
+			removePart(lender, nowNanos);
+			former = null;
+		}
+		if (former == null) {
+			accrueAll(nowNanos);
+			this.parts.put(lender, new Part(incarnation, nowNanos, cutNanos));
+		}
+		else if (cutNanos - former.cutNanos() > 0) {
+			this.parts.put(lender, new Part(incarnation, former.startNanos(), cutNanos));
+		}
+		findNextCut();
+	}
+
+	/**
+	 * Removes a part at once. Grants that it backed stay outstanding.
+	 * @param lender the lending VM
+	 * @param nowNanos the monotonic time in nanoseconds
+	 */
+	void removePart(String lender, long nowNanos) {
+		advance(nowNanos);
+		if (this.parts.containsKey(lender)) {
+			accrueAll(nowNanos);
+			this.parts.remove(lender);
+			this.ledgers.values().forEach((ledger) -> ledger.cap(share()));
+			findNextCut();
+		}
+	}
+
+	/**
+	 * Moves the pool to a time, cutting parts in the order of their cuts.
+	 * @param nowNanos the monotonic time in nanoseconds
+	 */
+	void advance(long nowNanos) {
+		while (!this.parts.isEmpty() && nowNanos - this.nextCutNanos >= 0) {
+			long cutNanos = this.nextCutNanos;
+			accrueAll(cutNanos);
+			this.parts.values().removeIf((part) -> part.cutNanos() == cutNanos);
+			this.ledgers.values().forEach((ledger) -> ledger.cap(share()));
+			findNextCut();
+		}
+	}
+
+	private void findNextCut() {
+		Iterator<Part> all = this.parts.values().iterator();
+		if (all.hasNext()) {
+			this.nextCutNanos = all.next().cutNanos();
+			all.forEachRemaining((part) -> {
+				if (part.cutNanos() - this.nextCutNanos < 0) {
+					this.nextCutNanos = part.cutNanos();
+				}
+			});
+		}
+	}
+
+	private void accrueAll(long nowNanos) {
+		double share = share();
+		this.ledgers.values().forEach((ledger) -> ledger.accrue(share, nowNanos));
+	}
+
+	private TeamLedger ledger(Team team, long nowNanos) {
+		advance(nowNanos);
+		TeamLedger ledger = this.ledgers.computeIfAbsent(team.id(), (id) -> new TeamLedger(team.tokensPerSecond(),
+				team.burstTokens(), accruedSinceStart(team.tokensPerSecond(), team.burstTokens(), nowNanos), nowNanos));
+		ledger.accrue(share(), nowNanos);
+		if (!ledger.hasLimits(team.tokensPerSecond(), team.burstTokens())) {
+			ledger.limits(team.tokensPerSecond(), team.burstTokens(), share());
+		}
+		return ledger;
+	}
+
+	private double accruedSinceStart(double tokensPerSecond, double burstTokens, long nowNanos) {
+		double tokens = 0;
+		for (Part part : this.parts.values()) {
+			tokens += Math.min(burstTokens, (nowNanos - part.startNanos()) / NANOS_PER_SECOND * tokensPerSecond);
+		}
+		return tokens * this.sliceShare;
+	}
+
+	double level(Team team, long nowNanos) {
+		return ledger(team, nowNanos).level();
+	}
+
+	/**
+	 * Takes tokens for a reservation of this VM.
+	 * @param team the team
+	 * @param tokens the tokens
+	 * @param nowNanos the monotonic time in nanoseconds
+	 * @return whether there were enough
+	 */
+	boolean take(Team team, double tokens, long nowNanos) {
+		TeamLedger ledger = ledger(team, nowNanos);
+		if (ledger.level() + ROUNDING < tokens) {
+			return false;
+		}
+		ledger.take(Math.min(tokens, ledger.level()));
+		return true;
+	}
+
+	void putBack(Team team, double tokens, long nowNanos) {
+		ledger(team, nowNanos).putBack(tokens, share());
+	}
+
+	/**
+	 * Grants tokens to a borrower. What is needed at once is granted whole or not at all,
+	 * because parts scattered over VMs would serve nobody; what is wanted in advance
+	 * comes only from the upper half of the bucket.
+	 * @param team the team
+	 * @param borrower the borrowing VM
+	 * @param grantId the number of the grant
+	 * @param needed the tokens needed at once
+	 * @param wanted the tokens wanted in advance
+	 * @param nowNanos the monotonic time in nanoseconds
+	 * @return the whole tokens granted
+	 */
+	long grant(Team team, String borrower, long grantId, long needed, long wanted, long nowNanos) {
+		TeamLedger ledger = ledger(team, nowNanos);
+		if (ledger.level() + ROUNDING < needed) {
+			return 0;
+		}
+		double spare = ledger.level() - needed - share() * team.burstTokens() / 2;
+		long tokens = needed + (long) Math.max(0, Math.min(wanted, Math.floor(spare)));
+		if (tokens > 0) {
+			ledger.grant(new TeamLedger.OutstandingGrant(grantId, borrower, tokens,
+					nowNanos + this.terms.extended(this.terms.grantTermNanos())));
+		}
+		return tokens;
+	}
+
+	void report(Team team, String borrower, Collection<GrantBalance> balances, long nowNanos) {
+		TeamLedger ledger = ledger(team, nowNanos);
+		balances.forEach((balance) -> ledger.report(borrower, balance.grantId(), balance.remainingTokens()));
+	}
+
+	/**
+	 * Returns how long it takes until the pool holds an amount.
+	 * @param team the team
+	 * @param tokens the amount
+	 * @param nowNanos the monotonic time in nanoseconds
+	 * @return the time in nanoseconds; a loan term if the pool can never hold the amount
+	 * with its present parts
+	 */
+	long nanosUntil(Team team, double tokens, long nowNanos) {
+		double missing = tokens - ledger(team, nowNanos).level();
+		double share = share();
+		if (missing <= 0) {
+			return 0;
+		}
+		if (share * team.burstTokens() < tokens) {
+			return this.terms.loanTermNanos();
+		}
+		return (long) Math.ceil(missing / (share * team.tokensPerSecond()) * NANOS_PER_SECOND);
+	}
+
+	boolean hasOutstanding(long nowNanos) {
+		advance(nowNanos);
+		accrueAll(nowNanos);
+		return this.ledgers.values().stream().anyMatch(TeamLedger::hasOutstanding);
+	}
+
+	/**
+	 * Applies changed limits and drops ledgers that hold no information.
+	 * @param teams finds the present limits; {@code null} for a deleted team
+	 * @param nowNanos the monotonic time in nanoseconds
+	 */
+	void tidy(Function<String, @Nullable Team> teams, long nowNanos) {
+		advance(nowNanos);
+		accrueAll(nowNanos);
+		List<String> idle = new ArrayList<>();
+		this.ledgers.forEach((id, ledger) -> {
+			Team team = teams.apply(id);
+			if (team != null && !ledger.hasLimits(team.tokensPerSecond(), team.burstTokens())) {
+				ledger.limits(team.tokensPerSecond(), team.burstTokens(), share());
+			}
+			if (ledger.isFull(share()) && ledger
+				.level() <= accruedSinceStart(ledger.tokensPerSecond(), ledger.burstTokens(), nowNanos) + ROUNDING) {
+				idle.add(id);
+			}
+		});
+		idle.forEach(this.ledgers::remove);
+	}
+
+	int ledgerCount() {
+		return this.ledgers.size();
+	}
+
+	private record Part(long incarnation, long startNanos, long cutNanos) {
+
+	}
+
+}
--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/limit/ShardSet.java
@@ -0,0 +1,83 @@
+package org.skylarkstack.limit;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.BitSet;
+import java.util.List;
+
+import org.skylarkstack.membership.Member;
+import org.skylarkstack.membership.MembershipView;
+import org.skylarkstack.misc.Hashes;
+
+/**
+ * Shards of teams and their encoding in heartbeats. Few shards are written as a list and
+ * many as a bit set, so that the bytes stay small in small and large fleets.
+ */
+public final class ShardSet {
+
+	static final int SHARDS = 1024;
+
+	private static final byte LIST = 1;
+
+	private static final byte BITS = 2;
+
+	private static final int LONGEST_LIST = SHARDS / Byte.SIZE / Short.BYTES;
+
+	private ShardSet() {
+	}
+
+	static int shardOf(String teamId) {
+		return (int) Math.floorMod(Hashes.stable64(teamId), (long) SHARDS);
+	}
+
+	/**
+	 * Returns the soft owner of each shard.
+	 * @param view the live members
+	 * @return the VMs by shard; this VM itself where there is no other
+	 */
+	public static List<String> owners(MembershipView view) {
+		List<String> candidates = view.members()
+			.values()
+			.stream()
+			.filter((member) -> !member.leaving())
+			.map(Member::vmId)
+			.toList();
+		List<String> owners = new ArrayList<>(SHARDS);
+		for (int shard = 0; shard < SHARDS; shard++) {
+			String owner = Hashes.rendezvous("rate-shard-" + shard, candidates);
+			owners.add((owner != null) ? owner : view.self());
+		}
+		return owners;
+	}
+
+	static byte[] encode(BitSet shards) {
+		if (shards.cardinality() > LONGEST_LIST) {
+			byte[] bits = shards.toByteArray();
+			return ByteBuffer.allocate(1 + bits.length).put(BITS).put(bits).array();
+		}
+		ByteBuffer list = ByteBuffer.allocate(1 + shards.cardinality() * Short.BYTES).put(LIST);
+		shards.stream().forEach((shard) -> list.putShort((short) shard));
+		return list.array();
+	}
+
+	// Shards out of range are left out.
+	static BitSet decode(byte[] bytes) {
+		BitSet shards = new BitSet();
+		if (bytes.length > 0 && bytes[0] == BITS) {
+			shards = BitSet.valueOf(Arrays.copyOfRange(bytes, 1, bytes.length));
+			shards.clear(SHARDS, Math.max(SHARDS, shards.length()));
+		}
+		else if (bytes.length > 0 && bytes[0] == LIST) {
+			ByteBuffer list = ByteBuffer.wrap(bytes, 1, bytes.length - 1);
+			while (list.remaining() >= Short.BYTES) {
+				int shard = list.getShort();
+				if (shard >= 0 && shard < SHARDS) {
+					shards.set(shard);
+				}
+			}
+		}
+		return shards;
+	}
+
+}
--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/limit/SlotClaimer.java
@@ -0,0 +1,355 @@
+package org.skylarkstack.limit;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+import org.jspecify.annotations.Nullable;
+import org.skylarkstack.store.Row;
+import org.skylarkstack.store.RowCondition;
+import org.skylarkstack.store.RowWrite;
+import org.skylarkstack.store.StoreException;
+import org.skylarkstack.store.TableStore;
+
+/**
+ * Claims and renews one rate slot for this VM.
+ *
+ * <p>
+ * Invariant: at any moment at most one VM regards a slot as its own. Each slot is a row
+ * whose version changes with each write, and each write is conditional on the version
+ * read before.
+ * <ul>
+ * <li>The holder counts its lease from before the write that it knows to have been
+ * applied. Another VM takes the slot only after it has seen one version for an extended
+ * lease, counted from the step after the one that first read it. The holder therefore
+ * stops first, also if it was paused.</li>
+ * <li>A write with unknown effect may still be applied later. It is settled by reading
+ * the row: the row carries the version of one of this VM's attempts, whose start then
+ * begins the lease, or it is unchanged and the next attempt is conditional on the same
+ * version, so that only one of them can be applied.</li>
+ * <li>A new incarnation takes its VM's slot back at once, because it has bound the peer
+ * port and the former process is gone. The predecessor's loans, whose longest term is in
+ * the row, run from before this start; the slot is usable when they are over.</li>
+ * <li>A slot that was returned, or whose lease ran out, is usable one extended loan term
+ * after the claim. A slot without a row was never held and is usable at once.</li>
+ * </ul>
+ * Steps block on the store. Not thread-safe.
+ */
+public final class SlotClaimer {
+
+	static final String PARTITION = "rate-slots";
+
+	private static final String HOLDER = "holder";
+
+	private static final String INCARNATION = "incarnation";
+
+	private static final String VERSION = "version";
+
+	private static final String LOAN_NANOS = "loanNanos";
+
+	private static final String NOBODY = "";
+
+	private final TableStore store;
+
+	private final String vmId;
+
+	private final String incarnation;
+
+	private final int slotCount;
+
+	private final LendingTerms terms;
+
+	private final RandomGenerator random;
+
+	private final long startNanos;
+
+	private final Map<Integer, Watch> watches = new HashMap<>();
+
+	private final Map<String, Attempt> attempts = new HashMap<>();
+
+	private long sequence;
+
+	private @Nullable SlotLease lease;
+
+	private @Nullable SlotLease lastHeld;
+
+	private @Nullable String version;
+
+	private boolean readFirst;
+
+	private long nextStepNanos;
+
+	/**
+	 * Creates a claimer that holds no slot.
+	 * @param store holds the slots
+	 * @param vmId this VM
+	 * @param incarnation the random number of this start
+	 * @param slotCount the number of slots of the fleet
+	 * @param terms the time bounds
+	 * @param random the source of jitter and of the first slot to try
+	 * @param nowNanos the monotonic time of this start
+	 */
+	public SlotClaimer(TableStore store, String vmId, long incarnation, int slotCount, LendingTerms terms,
+			RandomGenerator random, long nowNanos) {
+		this.store = store;
+		this.vmId = vmId;
+		this.incarnation = Long.toHexString(incarnation);
+		this.slotCount = slotCount;
+		this.terms = terms;
+		this.random = random;
+		this.startNanos = nowNanos;
+		this.nextStepNanos = nowNanos;
+	}
+
+	/**
+	 * Returns the slot that this VM holds, as of the last step.
+	 * @return the slot; its own end must be checked at each use
+	 */
+	public Optional<SlotLease> lease() {
+		return Optional.ofNullable(this.lease);
+	}
+
+	/**
+	 * Returns when the next step is due.
+	 * @return the monotonic time in nanoseconds
+	 */
+	public long nextStepNanos() {
+		return this.nextStepNanos;
+	}
+
+	/**
+	 * Claims, renews or watches slots as due.
+	 * @param nowNanos the monotonic time before the step
+	 * @throws StoreException if the store does not answer; the next step goes on
+	 */
+	public void step(long nowNanos) {
+		long retry = this.terms.slotRetryNanos();
+		this.nextStepNanos = nowNanos + retry / 2 + this.random.nextLong(retry / 2 + 1);
+		SlotLease held = this.lease;
+		if (held != null && nowNanos - held.endNanos() >= 0) {
+			this.lease = null;
+			this.version = null;
+			held = null;
+		}
+		if (held == null) {
+			claim(nowNanos);
+		}
+		else if (!this.readFirst || settleRenewal(held, nowNanos)) {
+			renew(held, nowNanos);
+		}
+	}
+
+	private void renew(SlotLease held, long nowNanos) {
+		String current = this.version;
+		if (current == null) {
+			return;
+		}
+		this.readFirst = true;
+		String next = attempt(held.slot(), held.usableFromNanos(), nowNanos);
+		boolean applied = write(held.slot(), this.vmId, next, RowCondition.attributeEquals(VERSION, current));
+		if (applied) {
+			adopt(next);
+		}
+	}
+
+	/**
+	 * Finds out what became of a renewal that was not confirmed.
+	 * @param held the slot
+	 * @param nowNanos the monotonic time in nanoseconds
+	 * @return whether the slot is still held and should be renewed now
+	 */
+	private boolean settleRenewal(SlotLease held, long nowNanos) {
+		Optional<Row> row = this.store.get(PARTITION, sort(held.slot()));
+		String present = row.map((found) -> found.attributes().get(VERSION)).orElse(NOBODY);
+		if (present.equals(this.version)) {
+			return true;
+		}
+		if (this.attempts.containsKey(present)) {
+			adopt(present);
+			return nowNanos - this.nextStepNanos >= 0;
+		}
+		this.lease = null;
+		this.version = null;
+		this.attempts.clear();
+		return false;
+	}
+
+	private String attempt(int slot, long usableFromNanos, long nowNanos) {
+		String name = "%s.%s.%d".formatted(this.vmId, this.incarnation, ++this.sequence);
+		this.attempts.put(name, new Attempt(slot, usableFromNanos, nowNanos));
+		return name;
+	}
+
+	private void adopt(String applied) {
+		Attempt attempt = this.attempts.get(applied);
+		if (attempt != null) {
+			this.lease = new SlotLease(attempt.slot(), attempt.usableFromNanos(),
+					attempt.startNanos() + this.terms.slotLeaseNanos());
+			this.lastHeld = this.lease;
+			this.version = applied;
+			this.readFirst = false;
+			this.nextStepNanos = attempt.startNanos() + this.terms.slotRenewalNanos();
+			this.attempts.clear();
+			this.watches.clear();
+		}
+	}
+
+	private boolean write(int slot, String holder, String newVersion, RowCondition condition) {
+		Row row = new Row(PARTITION, sort(slot), Map.of(HOLDER, holder, INCARNATION, this.incarnation, VERSION,
+				newVersion, LOAN_NANOS, Long.toString(this.terms.loanTermNanos())));
+		return this.store.write(List.of(RowWrite.put(row, condition)));
+	}
+
+	private void claim(long nowNanos) {
+		boolean mayObserve = true;
+		for (int tries = 0; tries < this.slotCount && !tryClaim(mayObserve, nowNanos); tries++) {
+			mayObserve = false;
+		}
+	}
+
+	/**
+	 * Tries to claim one slot.
+	 * @param mayObserve whether versions seen before count as seen since this step's
+	 * start; not for a second reading within one step
+	 * @param nowNanos the monotonic time before the step
+	 * @return whether the step is over; {@code false} if another VM was faster
+	 */
+	private boolean tryClaim(boolean mayObserve, long nowNanos) {
+		List<Row> rows = this.store.query(PARTITION, "", this.slotCount);
+		Map<Integer, Row> bySlot = new HashMap<>();
+		rows.forEach((row) -> bySlot.put(Integer.parseInt(row.sort()), row));
+		for (Row row : rows) {
+			String present = value(row, VERSION);
+			if (this.attempts.containsKey(present)) {
+				adopt(present);
+				return true;
+			}
+		}
+		if (mayObserve) {
+			observe(bySlot, nowNanos);
+		}
+		Optional<Candidate> candidate = candidate(bySlot, nowNanos);
+		if (candidate.isEmpty()) {
+			return true;
+		}
+		Candidate chosen = candidate.get();
+		String next = attempt(chosen.slot(), chosen.usableFromNanos(), nowNanos);
+		if (write(chosen.slot(), this.vmId, next, chosen.condition())) {
+			adopt(next);
+			return true;
+		}
+		this.attempts.remove(next);
+		return false;
+	}
+
+	private void observe(Map<Integer, Row> bySlot, long nowNanos) {
+		for (Map.Entry<Integer, Row> entry : bySlot.entrySet()) {
+			String present = value(entry.getValue(), VERSION);
+			Watch former = this.watches.get(entry.getKey());
+			if (former == null || !former.version().equals(present)) {
+				this.watches.put(entry.getKey(), new Watch(present, null));
+			}
+			else if (former.sinceNanos() == null) {
+				this.watches.put(entry.getKey(), new Watch(present, nowNanos));
+			}
+		}
+	}
+
+	private Optional<Candidate> candidate(Map<Integer, Row> bySlot, long nowNanos) {
+		for (Map.Entry<Integer, Row> entry : bySlot.entrySet()) {
+			if (value(entry.getValue(), HOLDER).equals(this.vmId) && entry.getKey() < this.slotCount) {
+				return Optional.of(ownSlot(entry.getKey(), entry.getValue(), nowNanos));
+			}
+		}
+		// An unsettled attempt is repeated on its own slot: two slots must not be
+		// claimed.
+		Optional<Integer> unsettled = this.attempts.values().stream().map(Attempt::slot).findFirst();
+		List<Candidate> free = new ArrayList<>();
+		int first = this.random.nextInt(this.slotCount);
+		for (int offset = 0; offset < this.slotCount; offset++) {
+			int slot = (first + offset) % this.slotCount;
+			Candidate candidate = freeSlot(slot, bySlot.get(slot), nowNanos);
+			if (candidate != null && unsettled.map((only) -> only == slot).orElse(true)) {
+				free.add(candidate);
+			}
+		}
+		if (free.isEmpty()) {
+			this.attempts.clear();
+		}
+		return free.stream().findFirst();
+	}
+
+	private Candidate ownSlot(int slot, Row row, long nowNanos) {
+		boolean sameStart = value(row, INCARNATION).equals(this.incarnation);
+		SlotLease own = this.lastHeld;
+		long usableFrom = this.startNanos + formerLoans(row);
+		if (sameStart) {
+			usableFrom = (own != null && own.slot() == slot) ? Math.max(nowNanos, own.usableFromNanos())
+					: nowNanos + formerLoans(row);
+		}
+		return new Candidate(slot, RowCondition.attributeEquals(VERSION, value(row, VERSION)), usableFrom);
+	}
+
+	private @Nullable Candidate freeSlot(int slot, @Nullable Row row, long nowNanos) {
+		if (row == null) {
+			return new Candidate(slot, RowCondition.ABSENT, nowNanos);
+		}
+		Watch watch = this.watches.get(slot);
+		boolean returned = value(row, HOLDER).equals(NOBODY);
+		Long since = (watch != null && watch.version().equals(value(row, VERSION))) ? watch.sinceNanos() : null;
+		boolean expired = since != null && nowNanos - since >= this.terms.extended(this.terms.slotLeaseNanos());
+		if (!returned && !expired) {
+			return null;
+		}
+		return new Candidate(slot, RowCondition.attributeEquals(VERSION, value(row, VERSION)),
+				nowNanos + formerLoans(row));
+	}
+
+	private long formerLoans(Row row) {
+		return this.terms.extended(Long.parseLong(value(row, LOAN_NANOS)));
+	}
+
+	/**
+	 * Returns the slot. Nothing may be used or lent from before this call on; loans that
+	 * still run are covered by the wait of the next holder.
+	 * @throws StoreException if the store does not answer; the lease then runs out
+	 */
+	public void release() {
+		SlotLease held = this.lease;
+		String current = this.version;
+		this.lease = null;
+		this.version = null;
+		if (held != null && current != null) {
+			write(held.slot(), NOBODY, "%s.%s.%d".formatted(this.vmId, this.incarnation, ++this.sequence),
+					RowCondition.attributeEquals(VERSION, current));
+		}
+	}
+
+	private static String sort(int slot) {
+		return "%04d".formatted(slot);
+	}
+
+	private static String value(Row row, String attribute) {
+		String value = row.attributes().get(attribute);
+		if (value == null) {
+			throw new IllegalStateException("rate slot %s has no %s".formatted(row.sort(), attribute));
+		}
+		return value;
+	}
+
+	private record Watch(String version, @Nullable Long sinceNanos) {
+
+	}
+
+	private record Attempt(int slot, long usableFromNanos, long startNanos) {
+
+	}
+
+	private record Candidate(int slot, RowCondition condition, long usableFromNanos) {
+
+	}
+
+}
--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/limit/SlotLease.java
@@ -0,0 +1,16 @@
+package org.skylarkstack.limit;
+
+/**
+ * Rate slot held by this VM, in this VM's monotonic time.
+ *
+ * @param slot the number of the slot
+ * @param usableFromNanos when the loans of the former holder are over
+ * @param endNanos when the lease ends unless it is renewed
+ */
+public record SlotLease(int slot, long usableFromNanos, long endNanos) {
+
+	boolean isUsable(long nowNanos) {
+		return nowNanos - this.usableFromNanos >= 0 && nowNanos - this.endNanos < 0;
+	}
+
+}
--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/limit/TokenLending.java
@@ -0,0 +1,466 @@
+package org.skylarkstack.limit;
+
+import java.util.Arrays;
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BiConsumer;
+import java.util.function.Function;
+import java.util.function.LongConsumer;
+
+import org.jspecify.annotations.Nullable;
+import org.skylarkstack.configuration.Team;
+import org.skylarkstack.membership.LoanOffer;
+import org.skylarkstack.peer.PeerMessage;
+
+/**
+ * Slices, loans and grants of one VM, without threads, clocks and sockets.
+ *
+ * <p>
+ * Invariant of the fleet: at any moment the unspent tokens of a team on all VMs,
+ * outstanding grants included, are at most its burst, and they are created at most at its
+ * rate. In each window of t seconds, reservations less refunds are therefore at most rate
+ * x t + burst. It holds because
+ * <ul>
+ * <li>a slice belongs to one VM ({@link SlotClaimer}) and is in one place
+ * ({@link SliceLender});</li>
+ * <li>the place of a slice creates at most the slice's rate and holds at most its burst,
+ * grants included ({@link ShardPool}, {@link TeamLedger});</li>
+ * <li>a slice carries no tokens when it moves;</li>
+ * <li>a grant is spent only while its owner counts it ({@link GrantStock});</li>
+ * <li>a refund goes to one place, which takes it only up to its bound.</li>
+ * </ul>
+ * While VMs know different limits of a team, its bound is that of the highest rate and
+ * the highest burst among them. Not thread-safe.
+ */
+public final class TokenLending {
+
+	/** Share of a second of recent demand that is held in advance. */
+	private static final double PREFETCH_SECONDS = 0.25;
+
+	private static final long NANOS_PER_SECOND = 1_000_000_000L;
+
+	/** Bounds the questions of a team that is over its rate. */
+	private static final long QUIET_NANOS = 20_000_000L;
+
+	/** Wait stated when the owner does not answer or has no slices. */
+	private static final long UNKNOWN_WAIT_NANOS = 200_000_000L;
+
+	private static final long ANSWER_LOST_NANOS = 500_000_000L;
+
+	private static final int TIDY_TICKS = 20;
+
+	private final String self;
+
+	private final long incarnation;
+
+	private final int slotCount;
+
+	private final LendingTerms terms;
+
+	private final Function<String, @Nullable Team> teams;
+
+	private final BiConsumer<String, PeerMessage> out;
+
+	private final PeerReach reach;
+
+	private final SliceLender lender;
+
+	private final Map<Integer, ShardPool> pools = new HashMap<>();
+
+	private final Map<String, GrantStock> stocks = new HashMap<>();
+
+	private final Map<String, BitSet> shardsByOwner = new HashMap<>();
+
+	private final String[] owners = new String[ShardSet.SHARDS];
+
+	private @Nullable SlotLease slot;
+
+	private LongConsumer answered = (requestId) -> {
+	};
+
+	private final Map<Long, Long> neededById = new HashMap<>();
+
+	private long nextRequestId = 1;
+
+	private long nextGrantId;
+
+	private int ticks;
+
+	/**
+	 * Creates the state of a VM that holds nothing.
+	 * @param self this VM
+	 * @param incarnation the random number of this start
+	 * @param slotCount the number of rate slots of the fleet
+	 * @param terms the time bounds
+	 * @param firstGrantId a random number, so that grants of different VMs and starts
+	 * have different numbers
+	 * @param teams finds the limits in force; {@code null} for a deleted team
+	 * @param reach which peers answer
+	 * @param out sends messages
+	 */
+	public TokenLending(String self, long incarnation, int slotCount, LendingTerms terms, long firstGrantId,
+			Function<String, @Nullable Team> teams, PeerReach reach, BiConsumer<String, PeerMessage> out) {
+		this.self = self;
+		this.incarnation = incarnation;
+		this.slotCount = slotCount;
+		this.terms = terms;
+		this.nextGrantId = firstGrantId;
+		this.teams = teams;
+		this.reach = reach;
+		this.out = out;
+		this.lender = new SliceLender(terms);
+		Arrays.fill(this.owners, self);
+		this.shardsByOwner.computeIfAbsent(self, (vm) -> new BitSet()).set(0, ShardSet.SHARDS);
+	}
+
+	/**
+	 * Sets the listener for answers to requests of reservations.
+	 * @param listener called with the number of the request
+	 */
+	public void onAnswer(LongConsumer listener) {
+		this.answered = listener;
+	}
+
+	/**
+	 * Sets the soft owner of each shard.
+	 * @param newOwners the VMs by shard
+	 */
+	public void owners(List<String> newOwners) {
+		this.shardsByOwner.clear();
+		for (int shard = 0; shard < ShardSet.SHARDS; shard++) {
+			this.owners[shard] = newOwners.get(shard);
+			this.shardsByOwner.computeIfAbsent(newOwners.get(shard), (vm) -> new BitSet()).set(shard);
+		}
+	}
+
+	/**
+	 * Sets the rate slot that this VM holds.
+	 * @param held the slot, or {@code null} for none
+	 * @param nowNanos the monotonic time in nanoseconds
+	 */
+	public void slot(@Nullable SlotLease held, long nowNanos) {
+		SlotLease former = this.slot;
+		this.slot = held;
+		if (former != null && (held == null || held.slot() != former.slot())) {
+			withdrawOwnPool(nowNanos);
+		}
+	}
+
+	private void withdrawOwnPool(long nowNanos) {
+		for (int shard = 0; shard < ShardSet.SHARDS; shard++) {
+			if (this.lender.isInOwnPool(shard)) {
+				withdraw(shard, nowNanos);
+			}
+		}
+	}
+
+	private void withdraw(int shard, long nowNanos) {
+		ShardPool pool = pool(shard);
+		pool.removePart(this.self, nowNanos);
+		this.lender.fromOwnPool(shard, pool.hasOutstanding(nowNanos), nowNanos);
+	}
+
+	private ShardPool pool(int shard) {
+		return this.pools.computeIfAbsent(shard, (key) -> new ShardPool(this.terms, this.slotCount));
+	}
+
+	private GrantStock stock(String teamId, long nowNanos) {
+		return this.stocks.computeIfAbsent(teamId, (id) -> new GrantStock(nowNanos));
+	}
+
+	/**
+	 * Tries to reserve tokens from what is held here; asks the owner for what is missing.
+	 * @param team the team with its limits in force
+	 * @param tokens the tokens
+	 * @param mayAsk whether the owner may be asked
+	 * @param nowNanos the monotonic time in nanoseconds
+	 * @return the outcome
+	 */
+	public ReserveOutcome tryReserve(Team team, long tokens, boolean mayAsk, long nowNanos) {
+		int shard = ShardSet.shardOf(team.id());
+		refreshOwnPart(shard, nowNanos);
+		GrantStock stock = stock(team.id(), nowNanos);
+		if (takeHere(team, shard, stock, tokens, nowNanos)) {
+			stock.demanded(tokens, nowNanos);
+			return ReserveOutcome.RESERVED;
+		}
+		String owner = this.owners[shard];
+		if (owner.equals(this.self)) {
+			return ReserveOutcome.refused(waitHere(team, shard, tokens, nowNanos));
+		}
+		long missing = tokens - stock.available(nowNanos);
+		if (!mayAsk || stock.refuses(missing, nowNanos) || !this.reach.answers(owner, nowNanos)) {
+			long wait = stock.waitNanos(nowNanos);
+			return ReserveOutcome.refused((wait > 0) ? wait : UNKNOWN_WAIT_NANOS);
+		}
+		long requestId = this.nextRequestId++;
+		this.neededById.put(requestId, missing);
+		this.out.accept(owner, new TokenRequest(this.incarnation, requestId, nowNanos, team.id(), missing,
+				wanted(stock, 0, nowNanos), stock.report(owner)));
+		return ReserveOutcome.asked(requestId);
+	}
+
+	private long waitHere(Team team, int shard, long tokens, long nowNanos) {
+		ShardPool pool = pool(shard);
+		return pool.hasParts(nowNanos) ? pool.nanosUntil(team, tokens, nowNanos) : UNKNOWN_WAIT_NANOS;
+	}
+
+	private boolean takeHere(Team team, int shard, GrantStock stock, long tokens, long nowNanos) {
+		long held = stock.available(nowNanos);
+		long fromPool = Math.max(0, tokens - held);
+		if (fromPool > 0 && !pool(shard).take(team, fromPool, nowNanos)) {
+			return false;
+		}
+		stock.take(tokens - fromPool);
+		return true;
+	}
+
+	private static long wanted(GrantStock stock, long available, long nowNanos) {
+		return Math.max(0, (long) (stock.demand(nowNanos) * PREFETCH_SECONDS) - available);
+	}
+
+	/**
+	 * Returns the unused rest of a reservation.
+	 * @param teamId the team
+	 * @param tokens the tokens not used
+	 * @param nowNanos the monotonic time in nanoseconds
+	 */
+	public void refund(String teamId, long tokens, long nowNanos) {
+		if (tokens > 0) {
+			int shard = ShardSet.shardOf(teamId);
+			giveBack(this.owners[shard], teamId, tokens, List.of(), nowNanos);
+		}
+	}
+
+	private void giveBack(String owner, String teamId, long tokens, List<GrantBalance> balances, long nowNanos) {
+		int shard = ShardSet.shardOf(teamId);
+		Team team = this.teams.apply(teamId);
+		if (balances.isEmpty() && team != null && pool(shard).hasParts(nowNanos)) {
+			pool(shard).putBack(team, tokens, nowNanos);
+		}
+		else if (!owner.equals(this.self)) {
+			this.out.accept(owner, new TokenReturn(teamId, tokens, balances));
+		}
+	}
+
+	/**
+	 * Answers a request for tokens.
+	 * @param from the borrowing VM
+	 * @param request the request
+	 * @param nowNanos the monotonic time in nanoseconds
+	 */
+	public void onRequest(String from, TokenRequest request, long nowNanos) {
+		Team team = this.teams.apply(request.teamId());
+		int shard = ShardSet.shardOf(request.teamId());
+		long granted = 0;
+		long wait = UNKNOWN_WAIT_NANOS;
+		long grantId = this.nextGrantId++;
+		refreshOwnPart(shard, nowNanos);
+		ShardPool pool = pool(shard);
+		if (team != null && pool.hasParts(nowNanos)) {
+			pool.report(team, from, request.balances(), nowNanos);
+			granted = pool.grant(team, from, grantId, Math.max(0, request.neededTokens()),
+					Math.max(0, request.wantedTokens()), nowNanos);
+			wait = (granted >= request.neededTokens()) ? 0 : pool.nanosUntil(team, request.neededTokens(), nowNanos);
+		}
+		this.out.accept(from, new TokenGrant(request.incarnation(), request.requestId(), request.sentNanos(),
+				request.teamId(), grantId, granted, wait));
+	}
+
+	/**
+	 * Takes an answer to a request for tokens.
+	 * @param from the owner
+	 * @param grant the answer
+	 * @param nowNanos the monotonic time in nanoseconds
+	 */
+	public void onGrant(String from, TokenGrant grant, long nowNanos) {
+		if (grant.incarnation() != this.incarnation) {
+			return;
+		}
+		GrantStock stock = stock(grant.teamId(), nowNanos);
+		stock.asking(false, nowNanos);
+		Long needed = this.neededById.remove(grant.requestId());
+		if (needed != null && grant.waitNanos() > 0) {
+			stock.refused(needed, grant.waitNanos(), QUIET_NANOS, nowNanos);
+		}
+		if (grant.tokens() > 0) {
+			stock.add(from, grant.grantId(), grant.tokens(), grant.sentNanos() + this.terms.grantTermNanos(), nowNanos);
+		}
+		this.answered.accept(grant.requestId());
+	}
+
+	/**
+	 * Forgets a request whose answer is no longer awaited.
+	 * @param requestId the number of the request
+	 */
+	public void forget(long requestId) {
+		this.neededById.remove(requestId);
+	}
+
+	/**
+	 * Takes returned tokens.
+	 * @param from the returning VM
+	 * @param returned the tokens and balances
+	 * @param nowNanos the monotonic time in nanoseconds
+	 */
+	public void onReturn(String from, TokenReturn returned, long nowNanos) {
+		Team team = this.teams.apply(returned.teamId());
+		ShardPool pool = pool(ShardSet.shardOf(returned.teamId()));
+		if (team != null && returned.tokens() >= 0) {
+			pool.report(team, from, returned.balances(), nowNanos);
+			pool.putBack(team, returned.tokens(), nowNanos);
+		}
+	}
+
+	/**
+	 * Returns what is lent to a peer with a heartbeat sent now.
+	 * @param peer the peer
+	 * @param peerIncarnation its incarnation
+	 * @param nowNanos the monotonic time in nanoseconds
+	 * @return the loan, or {@code null} for none
+	 */
+	public @Nullable LoanOffer offer(String peer, long peerIncarnation, long nowNanos) {
+		BitSet wanted = this.shardsByOwner.get(peer);
+		SlotLease held = this.slot;
+		if (wanted == null || held == null || !held.isUsable(nowNanos) || !this.reach.answers(peer, nowNanos)) {
+			return null;
+		}
+		// The slice stays in use here until the heartbeat that lends it.
+		wanted.stream().filter(this.lender::isInOwnPool).forEach((shard) -> withdraw(shard, nowNanos));
+		long longest = (long) ((held.endNanos() - nowNanos) / (1 + this.terms.driftShare())) - 1;
+		long term = Math.min(this.terms.loanTermNanos(), longest);
+		if (term <= 0) {
+			return null;
+		}
+		BitSet lent = this.lender.lend(wanted, peer, peerIncarnation, term, nowNanos);
+		return lent.isEmpty() ? null : new LoanOffer(ShardSet.encode(lent), this.slotCount, term);
+	}
+
+	/**
+	 * Takes a loan.
+	 * @param from the lending VM
+	 * @param lenderIncarnation its incarnation
+	 * @param offer the loan
+	 * @param countedFromNanos this VM's own timestamp that came back with the loan
+	 * @param nowNanos the monotonic time in nanoseconds
+	 */
+	public void accept(String from, long lenderIncarnation, LoanOffer offer, long countedFromNanos, long nowNanos) {
+		if (offer.slices() == this.slotCount && countedFromNanos - nowNanos <= 0) {
+			ShardSet.decode(offer.shards())
+				.stream()
+				.forEach((shard) -> pool(shard).addPart(from, lenderIncarnation, countedFromNanos + offer.termNanos(),
+						nowNanos));
+		}
+	}
+
+	private void refreshOwnPart(int shard, long nowNanos) {
+		refreshOwnPart(shard, ownsOrReplaces(this.owners[shard], nowNanos), nowNanos);
+	}
+
+	private boolean ownsOrReplaces(String owner, long nowNanos) {
+		return owner.equals(this.self) || !this.reach.answers(owner, nowNanos);
+	}
+
+	private void refreshOwnPart(int shard, boolean stays, long nowNanos) {
+		SlotLease held = (this.slot != null && this.slot.isUsable(nowNanos)) ? this.slot : null;
+		if (this.lender.isInOwnPool(shard)) {
+			if (held == null) {
+				withdraw(shard, nowNanos);
+			}
+			else if (this.lender.extendOwn(shard, held.endNanos())) {
+				pool(shard).addPart(this.self, this.incarnation, held.endNanos(), nowNanos);
+			}
+		}
+		else if (held != null && stays && this.lender.isHome(shard, nowNanos)) {
+			this.lender.toOwnPool(shard, held.endNanos());
+			pool(shard).addPart(this.self, this.incarnation, held.endNanos(), nowNanos);
+		}
+	}
+
+	/**
+	 * Moves slices, asks for tokens in advance, returns unspent ones and drops the state
+	 * of idle teams.
+	 * @param nowNanos the monotonic time in nanoseconds
+	 */
+	public void tick(long nowNanos) {
+		this.shardsByOwner.forEach((owner, shards) -> {
+			boolean stays = ownsOrReplaces(owner, nowNanos);
+			shards.stream().forEach((shard) -> refreshOwnPart(shard, stays, nowNanos));
+		});
+		for (Iterator<Map.Entry<String, GrantStock>> all = this.stocks.entrySet().iterator(); all.hasNext();) {
+			Map.Entry<String, GrantStock> entry = all.next();
+			serve(entry.getKey(), entry.getValue(), nowNanos);
+			if (entry.getValue().isIdle(nowNanos)) {
+				all.remove();
+			}
+		}
+		if (++this.ticks % TIDY_TICKS == 0) {
+			this.pools.values().forEach((pool) -> pool.tidy(this.teams, nowNanos));
+			this.pools.values().removeIf(ShardPool::isIdle);
+		}
+	}
+
+	private void serve(String teamId, GrantStock stock, long nowNanos) {
+		String current = this.owners[ShardSet.shardOf(teamId)];
+		for (String owner : stock.owners()) {
+			long surrendered = stock.surrender(owner, this.terms.grantTermNanos() / 2, nowNanos);
+			List<GrantBalance> balances = stock.report(owner);
+			if (!balances.isEmpty()) {
+				giveBack(owner, teamId, surrendered, balances, nowNanos);
+			}
+		}
+		long available = stock.available(nowNanos);
+		long wanted = wanted(stock, available, nowNanos);
+		if (wanted > available && !current.equals(this.self) && !stock.isAsking(ANSWER_LOST_NANOS, nowNanos)
+				&& this.reach.answers(current, nowNanos)) {
+			stock.asking(true, nowNanos);
+			this.out.accept(current, new TokenRequest(this.incarnation, 0, nowNanos, teamId, 0, wanted, List.of()));
+		}
+	}
+
+	/**
+	 * Applies a change of limits.
+	 * @param nowNanos the monotonic time in nanoseconds
+	 */
+	public void limitsChanged(long nowNanos) {
+		this.pools.values().forEach((pool) -> pool.tidy(this.teams, nowNanos));
+	}
+
+	/**
+	 * Returns the rate slot that is usable now.
+	 * @param nowNanos the monotonic time in nanoseconds
+	 * @return the number of the slot, or -1 for none
+	 */
+	public int usableSlot(long nowNanos) {
+		SlotLease held = this.slot;
+		return (held != null && held.isUsable(nowNanos)) ? held.slot() : -1;
+	}
+
+	/**
+	 * Returns how many teams have state here.
+	 * @return the number of stocks and ledgers
+	 */
+	public int teamStates() {
+		return this.stocks.size() + this.pools.values().stream().mapToInt(ShardPool::ledgerCount).sum();
+	}
+
+	/**
+	 * Tells which peers answer.
+	 */
+	@FunctionalInterface
+	public interface PeerReach {
+
+		/**
+		 * Returns whether a peer is live and has lately echoed a timestamp of this VM.
+		 * @param peer the peer
+		 * @param nowNanos the monotonic time in nanoseconds
+		 * @return whether messages pass in both directions
+		 */
+		boolean answers(String peer, long nowNanos);
+
+	}
+
+}
--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/limit/TokenReturn.java
@@ -0,0 +1,22 @@
+package org.skylarkstack.limit;
+
+import java.util.List;
+
+import org.skylarkstack.peer.PeerMessage;
+
+/**
+ * Returns tokens to a team's soft owner: unspent grants and refunds of settled
+ * reservations.
+ *
+ * @param teamId the team
+ * @param tokens the tokens returned
+ * @param balances what is left of grants after the return
+ */
+public record TokenReturn(String teamId, long tokens, List<GrantBalance> balances) implements PeerMessage {
+
+	/** Copies the balances. */
+	public TokenReturn {
+		balances = List.copyOf(balances);
+	}
+
+}
--- a/runtime/src/main/java/org/skylarkstack/peer/IncomingLink.java
+++ b/runtime/src/main/java/org/skylarkstack/peer/IncomingLink.java
@@ -40,6 +40,8 @@
 
 	private long deadlineNanos;
 
+	private long acknowledgedNanos;
+
 	private long windowNanos;
 
 	private long windowBytes;
@@ -59,6 +61,7 @@
 		this.receiver = receiver;
 		this.deadlineNanos = nowNanos + this.bounds.connectTimeout().toNanos();
 		this.windowNanos = nowNanos;
+		this.acknowledgedNanos = nowNanos - this.bounds.probePeriod().toNanos();
 		new SecureRandom().nextBytes(this.nonce);
 		this.channel.write(Handshake.challenge(this.nonce));
 	}
@@ -109,10 +112,11 @@
 			return;
 		}
 		this.deadlineNanos = nowNanos + 2 * this.bounds.silenceTimeout().toNanos();
-		if (body.length == 0) {
+		if (body.length == 0 || nowNanos - this.acknowledgedNanos >= this.bounds.probePeriod().toNanos() / 2) {
+			this.acknowledgedNanos = nowNanos;
 			acknowledge(session);
 		}
-		else if (withinRate(frame.length, nowNanos)) {
+		if (body.length > 0 && withinRate(frame.length, nowNanos)) {
 			dispatch(session.connector(), body);
 		}
 	}
--- a/runtime/src/main/java/org/skylarkstack/peer/OutgoingLink.java
+++ b/runtime/src/main/java/org/skylarkstack/peer/OutgoingLink.java
@@ -20,10 +20,11 @@
  * transport thread.
  *
  * <p>
- * The connection is probed: an empty frame is sent each probe period and acknowledged by
- * the peer. Without an acknowledgement for the silence timeout the connection is
- * replaced, because a silent connection accepts writes for minutes before TCP gives up.
- * Messages that wait for a failed connection are dropped: they would arrive stale.
+ * The peer acknowledges what it receives, at most once each half probe period, and a
+ * connection without messages for a probe period is probed with an empty frame. Without
+ * an acknowledgement for the silence timeout the connection is replaced, because a silent
+ * connection accepts writes for minutes before TCP gives up. Messages that wait for a
+ * failed connection are dropped: they would arrive stale.
  */
 final class OutgoingLink {
 
@@ -229,6 +230,7 @@
 				LOG.atError().addKeyValue("event", "message_not_encoded").setCause(ex).log();
 			}
 		}
+		this.probeNanos = nowNanos + this.bounds.probePeriod().toNanos();
 		write(current, batch.toByteArray(), nowNanos);
 	}
 
--- /dev/null
+++ b/runtime/src/test/java/org/skylarkstack/limit/LendingRulesTests.java
@@ -0,0 +1,118 @@
+package org.skylarkstack.limit;
+
+import java.util.BitSet;
+
+import org.junit.jupiter.api.Test;
+import org.skylarkstack.configuration.Team;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards single rules of lending that the schedules exercise together.
+ */
+class LendingRulesTests {
+
+	private static final long SECOND = 1_000_000_000L;
+
+	private static final LendingTerms TERMS = LendingTerms.forPeriod(SECOND);
+
+	private static final Team TEAM = new Team("team", 700, 7_000, 1, null);
+
+	private final SliceLender lender = new SliceLender(TERMS);
+
+	private final ShardPool pool = new ShardPool(TERMS, 7);
+
+	private static BitSet shard(int shard) {
+		BitSet shards = new BitSet();
+		shards.set(shard);
+		return shards;
+	}
+
+	/** Guards against lending a slice twice while the first loan may still run. */
+	@Test
+	void sliceIsLentToOneIncarnationAtATime() {
+		assertThat(this.lender.lend(shard(3), "a", 1, 5 * SECOND, 0)).isEqualTo(shard(3));
+		assertThat(this.lender.lend(shard(3), "b", 1, 5 * SECOND, SECOND).isEmpty()).isTrue();
+		assertThat(this.lender.lend(shard(3), "a", 2, 5 * SECOND, SECOND).isEmpty()).isTrue();
+		assertThat(this.lender.isHome(3, 5 * SECOND)).isFalse();
+		assertThat(this.lender.isHome(3, 5 * SECOND + SECOND / 20)).isTrue();
+		assertThat(this.lender.lend(shard(3), "b", 1, 5 * SECOND, 6 * SECOND)).isEqualTo(shard(3));
+	}
+
+	/** Guards against lending a slice whose grants may still be spent. */
+	@Test
+	void sliceRestsWhileItsGrantsRun() {
+		this.lender.toOwnPool(3, 100 * SECOND);
+		assertThat(this.lender.lend(shard(3), "a", 1, 5 * SECOND, 0).isEmpty()).isTrue();
+		this.lender.fromOwnPool(3, true, 0);
+		assertThat(this.lender.lend(shard(3), "a", 1, 5 * SECOND, 2 * SECOND).isEmpty()).isTrue();
+		assertThat(this.lender.lend(shard(3), "a", 1, 5 * SECOND, 2 * SECOND + SECOND / 50)).isEqualTo(shard(3));
+	}
+
+	/** Guards against new parts that bring tokens with them. */
+	@Test
+	void newPartStartsEmpty() {
+		this.pool.addPart("a", 1, 100 * SECOND, 0);
+		assertThat(this.pool.level(TEAM, 0)).isEqualTo(0.0);
+		assertThat(this.pool.level(TEAM, 5 * SECOND)).isWithin(0.001).of(500);
+		this.pool.addPart("b", 1, 100 * SECOND, 5 * SECOND);
+		assertThat(this.pool.level(TEAM, 5 * SECOND)).isWithin(0.001).of(500);
+		assertThat(this.pool.level(TEAM, 6 * SECOND)).isWithin(0.001).of(700);
+	}
+
+	/** Guards against grants that outlive the loan that backed them. */
+	@Test
+	void partIsCutOneGrantTermBeforeItsLoanEnds() {
+		this.pool.addPart("a", 1, 10 * SECOND, 0);
+		assertThat(this.pool.grant(TEAM, "vm", 1, 100, 0, 7 * SECOND)).isEqualTo(100);
+		assertThat(this.pool.grant(TEAM, "vm", 2, 100, 0, 8 * SECOND)).isEqualTo(0);
+		assertThat(this.pool.hasParts(8 * SECOND)).isFalse();
+	}
+
+	/** Guards against outstanding grants that do not count against the burst. */
+	@Test
+	void outstandingGrantsCountAgainstTheBurst() {
+		this.pool.addPart("a", 1, 1_000 * SECOND, 0);
+		assertThat(this.pool.grant(TEAM, "vm", 1, 1_000, 0, 100 * SECOND)).isEqualTo(1_000);
+		assertThat(this.pool.level(TEAM, 101 * SECOND)).isWithin(0.001).of(0);
+		assertThat(this.pool.level(TEAM, 103 * SECOND)).isWithin(0.001).of(98);
+	}
+
+	/** Guards against a second burst for a team that is deleted and set again. */
+	@Test
+	void deletedTeamKeepsItsLedgerUntilItIsFull() {
+		this.pool.addPart("a", 1, 1_000 * SECOND, 0);
+		assertThat(this.pool.take(TEAM, 1_000, 100 * SECOND)).isTrue();
+		this.pool.tidy((id) -> null, 101 * SECOND);
+		assertThat(this.pool.level(TEAM, 101 * SECOND)).isWithin(0.001).of(100);
+		this.pool.tidy((id) -> null, 200 * SECOND);
+		assertThat(this.pool.ledgerCount()).isEqualTo(0);
+		assertThat(this.pool.level(TEAM, 200 * SECOND)).isWithin(0.001).of(1_000);
+	}
+
+	/** Guards against tokens that appear when a team's limits are raised. */
+	@Test
+	void raisedLimitsAddNoTokensAtOnce() {
+		this.pool.addPart("a", 1, 1_000 * SECOND, 0);
+		assertThat(this.pool.take(TEAM, 1_000, 100 * SECOND)).isTrue();
+		Team raised = new Team("team", 1_400, 14_000, 1, null);
+		assertThat(this.pool.level(raised, 101 * SECOND)).isWithin(0.001).of(100);
+		assertThat(this.pool.level(raised, 102 * SECOND)).isWithin(0.001).of(300);
+		Team lowered = new Team("team", 7, 70, 1, null);
+		assertThat(this.pool.level(lowered, 102 * SECOND)).isWithin(0.001).of(10);
+	}
+
+	/** Guards against a borrower that spends a grant after its term. */
+	@Test
+	void borrowerDropsGrantsOutOfTerm() {
+		GrantStock stock = new GrantStock(0);
+		stock.add("owner", 1, 50, 2 * SECOND, 0);
+		stock.add("owner", 2, 50, 3 * SECOND, 0);
+		assertThat(stock.available(2 * SECOND - 1)).isEqualTo(100);
+		assertThat(stock.available(2 * SECOND)).isEqualTo(50);
+		stock.take(20);
+		assertThat(stock.report("owner")).containsExactly(new GrantBalance(2, 30));
+		assertThat(stock.report("owner")).isEmpty();
+	}
+
+}
--- /dev/null
+++ b/runtime/src/test/java/org/skylarkstack/limit/SlotClaimerTests.java
@@ -0,0 +1,175 @@
+package org.skylarkstack.limit;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Random;
+import java.util.TreeMap;
+
+import org.junit.jupiter.api.Test;
+import org.skylarkstack.store.Row;
+import org.skylarkstack.store.RowCondition;
+import org.skylarkstack.store.RowWrite;
+import org.skylarkstack.store.StoreException;
+import org.skylarkstack.store.TableStore;
+import org.skylarkstack.store.WriteEffect;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards the claims of rate slots against lost replies, restarts, pauses and outages.
+ */
+class SlotClaimerTests {
+
+	private static final long SECOND = 1_000_000_000L;
+
+	private static final LendingTerms TERMS = LendingTerms.forPeriod(SECOND);
+
+	private static final long LOAN = TERMS.extended(TERMS.loanTermNanos());
+
+	private final FaultyStore store = new FaultyStore();
+
+	private SlotClaimer claimer(String vmId, long incarnation, long nowNanos) {
+		return new SlotClaimer(this.store, vmId, incarnation, 1, TERMS, new Random(1), nowNanos);
+	}
+
+	private static void step(SlotClaimer claimer, long nowNanos) {
+		try {
+			claimer.step(nowNanos);
+		}
+		catch (StoreException ex) {
+			assertThat(ex.effect()).isNotNull();
+		}
+	}
+
+	/** Guards against a wait where no former holder can have lent anything. */
+	@Test
+	void slotWithoutARowIsUsableAtOnce() {
+		SlotClaimer claimer = claimer("a", 1, 0);
+		step(claimer, SECOND);
+		assertThat(claimer.lease()).hasValue(new SlotLease(0, SECOND, SECOND + TERMS.slotLeaseNanos()));
+	}
+
+	/** Guards against a lease counted from a later write than the one applied. */
+	@Test
+	void lostRepliesAreSettledByReading() {
+		SlotClaimer claimer = claimer("a", 1, 0);
+		this.store.loseReply = true;
+		step(claimer, SECOND);
+		assertThat(claimer.lease()).isEmpty();
+		step(claimer, 3 * SECOND);
+		assertThat(claimer.lease()).hasValue(new SlotLease(0, SECOND, SECOND + TERMS.slotLeaseNanos()));
+		long renewal = 301 * SECOND;
+		this.store.loseReply = true;
+		step(claimer, renewal);
+		assertThat(claimer.lease().orElseThrow().endNanos()).isEqualTo(SECOND + TERMS.slotLeaseNanos());
+		step(claimer, renewal + 3 * SECOND);
+		assertThat(claimer.lease().orElseThrow().endNanos()).isEqualTo(renewal + TERMS.slotLeaseNanos());
+	}
+
+	/** Guards against a restarted daemon that uses what its predecessor lent. */
+	@Test
+	void newIncarnationTakesItsSlotBackAndWaitsForLoans() {
+		step(claimer("a", 1, 0), SECOND);
+		SlotClaimer second = claimer("a", 2, 10 * SECOND);
+		step(second, 11 * SECOND);
+		assertThat(second.lease().orElseThrow().usableFromNanos()).isEqualTo(10 * SECOND + LOAN);
+	}
+
+	/** Guards against taking a slot from a paused holder before its lease ran out. */
+	@Test
+	void slotIsTakenOnlyAfterAWholeLeaseUnchanged() {
+		SlotClaimer holder = claimer("a", 1, 0);
+		step(holder, SECOND);
+		SlotClaimer other = claimer("b", 2, 0);
+		long lease = TERMS.extended(TERMS.slotLeaseNanos());
+		step(other, 2 * SECOND);
+		step(other, 4 * SECOND);
+		step(other, 3 * SECOND + lease);
+		assertThat(other.lease()).isEmpty();
+		step(holder, 301 * SECOND);
+		step(other, 4 * SECOND + lease);
+		assertThat(other.lease()).isEmpty();
+		step(other, 6 * SECOND + lease);
+		step(other, 6 * SECOND + 2 * lease);
+		assertThat(other.lease().orElseThrow().usableFromNanos()).isEqualTo(6 * SECOND + 2 * lease + LOAN);
+		step(holder, 301 * SECOND + TERMS.slotLeaseNanos());
+		assertThat(holder.lease()).isEmpty();
+	}
+
+	/** Guards against using a returned slot while its loans still run. */
+	@Test
+	void returnedSlotIsUsableAfterALoanTerm() {
+		SlotClaimer holder = claimer("a", 1, 0);
+		step(holder, SECOND);
+		holder.release();
+		SlotClaimer other = claimer("b", 2, 0);
+		step(other, 20 * SECOND);
+		assertThat(other.lease().orElseThrow().usableFromNanos()).isEqualTo(20 * SECOND + LOAN);
+	}
+
+	/** Guards against a lease that outlives an outage of the store. */
+	@Test
+	void leaseRunsOutDuringAnOutage() {
+		SlotClaimer claimer = claimer("a", 1, 0);
+		step(claimer, SECOND);
+		this.store.down = true;
+		step(claimer, 301 * SECOND);
+		assertThat(claimer.lease().orElseThrow().isUsable(301 * SECOND)).isTrue();
+		step(claimer, SECOND + TERMS.slotLeaseNanos());
+		assertThat(claimer.lease()).isEmpty();
+		this.store.down = false;
+		step(claimer, 10 * SECOND + TERMS.slotLeaseNanos());
+		assertThat(claimer.lease().orElseThrow().isUsable(10 * SECOND + TERMS.slotLeaseNanos())).isTrue();
+	}
+
+	/**
+	 * Table in memory.
+	 */
+	private static final class FaultyStore implements TableStore {
+
+		private final TreeMap<String, Row> rows = new TreeMap<>();
+
+		private boolean loseReply;
+
+		private boolean down;
+
+		@Override
+		public Optional<Row> get(String partition, String sort) {
+			fail(this.down, WriteEffect.NOT_APPLIED);
+			return Optional.ofNullable(this.rows.get(sort));
+		}
+
+		@Override
+		public List<Row> query(String partition, String afterSort, int limit) {
+			fail(this.down, WriteEffect.NOT_APPLIED);
+			return new ArrayList<>(this.rows.values());
+		}
+
+		@Override
+		public boolean write(List<RowWrite> writes) {
+			fail(this.down, WriteEffect.UNKNOWN);
+			RowWrite write = writes.get(0);
+			Row present = this.rows.get(write.row().sort());
+			RowCondition condition = Objects.requireNonNull(write.condition());
+			boolean holds = (condition.attribute() == null) ? present == null : present != null
+					&& Objects.equals(present.attributes().get(condition.attribute()), condition.expected());
+			if (holds) {
+				this.rows.put(write.row().sort(), write.row());
+			}
+			boolean lost = this.loseReply;
+			this.loseReply = false;
+			fail(lost, WriteEffect.UNKNOWN);
+			return holds;
+		}
+
+		private static void fail(boolean isFailing, WriteEffect effect) {
+			if (isFailing) {
+				throw new StoreException(effect, "no reply", new IllegalStateException());
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/runtime/src/test/java/org/skylarkstack/limit/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Tests of fleet-wide limits.
+ */
+@NullMarked
+package org.skylarkstack.limit;
+
+import org.jspecify.annotations.NullMarked;
--- a/runtime/src/test/java/org/skylarkstack/peer/TcpPeerTransportTests.java
+++ b/runtime/src/test/java/org/skylarkstack/peer/TcpPeerTransportTests.java
@@ -23,6 +23,7 @@
 import org.skylarkstack.kernel.PluginRegistry;
 import org.skylarkstack.membership.Heartbeat;
 import org.skylarkstack.membership.LoanOffer;
+import org.skylarkstack.membership.MembershipTerms;
 import org.skylarkstack.misc.TimeSource;
 import org.skylarkstack.settings.ListenAddress;
 import org.skylarkstack.settings.PeerSettings;
@@ -233,6 +234,21 @@
 			.isEqualTo(new Heartbeat("dc", 1, 2, 3, 4, 5, true, null));
 	}
 
+	/** Guards the control budget of 12 KB/s for each of 350 daemons. */
+	@Test
+	void heartbeatsOfALargeFleetStayInTheBudget() {
+		long period = MembershipTerms.DEFAULT.periodNanos(350);
+		long now = 1L << 60;
+		Heartbeat heartbeat = new Heartbeat("data-centre-5", now, now, now, now, now, false,
+				new LoanOffer(new byte[7], 350, now));
+		int frame = new PeerCodec(PluginRegistry.load()).encode(heartbeat).length + FrameSeal.OVERHEAD_BYTES;
+		Duration acknowledged = TransportBounds.forPeriod(period).probePeriod().dividedBy(2);
+		double bytesPerSecond = 349
+				* (frame / (period / 1e9) + FrameSeal.OVERHEAD_BYTES / (acknowledged.toNanos() / 1e9));
+		System.out.printf("heartbeat_frame_bytes=%d control_bytes_per_second=%.0f%n", frame, bytesPerSecond);
+		assertThat(bytesPerSecond).isLessThan(12_000.0);
+	}
+
 	private static boolean rejects(Runnable action) {
 		try {
 			action.run();
