Add the load and experiment tool

Cause: goodput, wasted prefill, the worst team's service, wrong refusals and breaches of the invariants had no measurement.

Change: `skylarkstack bench` measures the capacity with a closed loop, then runs every policy at every load with the same seeded bursty arrivals, fault schedule and limits. Figures come from what callers received and from the stand-ins' counters.

Conclusion: the four quantities and eight kinds of breaches are reported for each run; the exit code is 1 when a breach was seen.

--- /dev/null
+++ b/bench/src/main/java/org/skylarkstack/bench/BenchResults.java
@@ -0,0 +1,26 @@
+package org.skylarkstack.bench;
+
+import java.util.List;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Results of an experiment.
+ *
+ * @param deployment the name of the profile
+ * @param seed the seed
+ * @param seconds the length of a run in seconds
+ * @param capacity the measured capacity in requests a second
+ * @param capacityPolicy the policy with which it was measured
+ * @param runs the runs
+ * @param direct the comparison with engines called directly, if it was made
+ */
+public record BenchResults(String deployment, long seed, double seconds, double capacity, String capacityPolicy,
+		List<RunResult> runs, @Nullable DirectFigures direct) {
+
+	/** Copies the list. */
+	public BenchResults {
+		runs = List.copyOf(runs);
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/org/skylarkstack/bench/Breaches.java
@@ -0,0 +1,42 @@
+package org.skylarkstack.bench;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * Breaches of the invariants that can be seen from outside. Each must be 0.
+ *
+ * @param answeredTwice answers with something after their end marker
+ * @param wrongWhole answers that look whole and are truncated or another request's
+ * @param ranTwice non-idempotent requests that took effect more than once
+ * @param notRunButRan requests refused as not run of which a backend server ran a part
+ * @param heldAfterEnd requests for which an engine holds memory after the end
+ * @param tokensOverLimit tokens beyond rate x t + burst, over all teams
+ * @param keysSeen requests at backend servers that carried a caller's key
+ * @param entriesLost non-idempotent requests answered as done that took no effect
+ */
+public record Breaches(long answeredTwice, long wrongWhole, long ranTwice, long notRunButRan, long heldAfterEnd,
+		long tokensOverLimit, long keysSeen, long entriesLost) {
+
+	/**
+	 * Returns the sum.
+	 * @return the sum, which must be 0
+	 */
+	public long total() {
+		return byName().values().stream().mapToLong(Long::longValue).sum();
+	}
+
+	Map<String, Long> byName() {
+		Map<String, Long> breaches = new LinkedHashMap<>();
+		breaches.put("answered twice", this.answeredTwice);
+		breaches.put("looks whole and is not", this.wrongWhole);
+		breaches.put("non-idempotent ran twice", this.ranTwice);
+		breaches.put("'not run' that ran", this.notRunButRan);
+		breaches.put("memory held after the end", this.heldAfterEnd);
+		breaches.put("tokens over the limit", this.tokensOverLimit);
+		breaches.put("callers' keys seen", this.keysSeen);
+		breaches.put("entries lost", this.entriesLost);
+		return breaches;
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/org/skylarkstack/bench/DirectComparison.java
@@ -0,0 +1,293 @@
+package org.skylarkstack.bench;
+
+import java.io.IOException;
+import java.lang.management.ManagementFactory;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.Consumer;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.sun.management.OperatingSystemMXBean;
+import okhttp3.Response;
+import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.Histogram;
+import org.skylarkstack.configuration.EngineRole;
+import org.skylarkstack.configuration.Team;
+import org.skylarkstack.fleet.EnginePlan;
+import org.skylarkstack.fleet.FleetAnswer;
+import org.skylarkstack.fleet.FleetClient;
+import org.skylarkstack.fleet.FleetPlan;
+import org.skylarkstack.fleet.LocalFleet;
+import org.skylarkstack.fleet.VmPlan;
+
+/**
+ * Compares a daemon with engines that are called directly, with the same requests in the
+ * same process. The router's share of CPU time and heap is the difference between both
+ * sides, because callers, engines and the daemon run in one process.
+ */
+final class DirectComparison {
+
+	private static final String MODEL = "model";
+
+	private static final String KEY = "direct-key";
+
+	private static final double NANOS_PER_MILLI = 1e6;
+
+	private static final double NANOS_PER_MICRO = 1e3;
+
+	private static final int LATENCY_REQUESTS = 400;
+
+	private static final int LATENCY_CALLERS = 8;
+
+	private static final int RELAY_STREAMS = 64;
+
+	private static final int RELAY_TOKENS = 1_000;
+
+	private static final int OPENERS = 32;
+
+	/** With hundreds of streams an engine's step is ten times as long. */
+	private static final int OPEN_STREAM_TOKEN_MILLIS = 100;
+
+	private final int openStreams;
+
+	private final long seed;
+
+	private final Consumer<String> progress;
+
+	/**
+	 * Creates a comparison.
+	 * @param openStreams the open streams for which memory is measured, or 0
+	 * @param seed the seed of the prompts
+	 * @param progress receives lines about the progress
+	 */
+	DirectComparison(int openStreams, long seed, Consumer<String> progress) {
+		this.openStreams = openStreams;
+		this.seed = seed;
+		this.progress = progress;
+	}
+
+	DirectFigures run() {
+		Histogram[] first = histograms();
+		Histogram[] gaps = histograms();
+		this.progress.accept("direct comparison: latency");
+		try (Side side = new Side(10)) {
+			latency(side, histograms(), histograms(), LATENCY_REQUESTS / 4);
+			latency(side, first, gaps, LATENCY_REQUESTS);
+		}
+		this.progress.accept("direct comparison: CPU time");
+		double[] cpu = new double[2];
+		try (Side side = new Side(1)) {
+			for (int round = 0; round < 3; round++) {
+				// The last round counts; the others warm the compiler up.
+				cpu[0] = cpuNanosPerToken(side, false);
+				cpu[1] = cpuNanosPerToken(side, true);
+			}
+		}
+		this.progress.accept("direct comparison: heap of open streams");
+		OpenStreams direct = heap(false);
+		OpenStreams routed = heap(true);
+		return new DirectFigures(LATENCY_REQUESTS, added(first, 50), added(first, 99), added(gaps, 50), added(gaps, 99),
+				cpu[0] / NANOS_PER_MICRO, cpu[1] / NANOS_PER_MICRO, 1e9 / Math.max(1, cpu[1] - cpu[0]),
+				Math.min(direct.opened(), routed.opened()), direct.bytesPerStream(), routed.bytesPerStream());
+	}
+
+	private static Histogram[] histograms() {
+		return new Histogram[] { new ConcurrentHistogram(LoadRunner.HIGHEST_NANOS, 3),
+				new ConcurrentHistogram(LoadRunner.HIGHEST_NANOS, 3) };
+	}
+
+	private static double added(Histogram[] sides, double percentile) {
+		return (sides[1].getValueAtPercentile(percentile) - sides[0].getValueAtPercentile(percentile))
+				/ NANOS_PER_MILLI;
+	}
+
+	private void latency(Side side, Histogram[] first, Histogram[] gaps, int requests) {
+		List<Callable<Integer>> tasks = new ArrayList<>();
+		for (int request = 0; request < requests; request++) {
+			int number = request;
+			tasks.add(() -> {
+				// Alternates which side goes first, because the second finds a warm
+				// prefix cache.
+				for (int turn = 0; turn < 2; turn++) {
+					boolean routed = (number + turn) % 2 == 1;
+					int index = routed ? 1 : 0;
+					long start = System.nanoTime();
+					StreamTiming timing = new StreamTiming(gaps[index]);
+					side.send(routed, side.body(this.seed + number, 200, 20), timing);
+					first[index].recordValue(timing.firstTokenNanos() - start);
+				}
+				return 0;
+			});
+		}
+		all(LATENCY_CALLERS, tasks);
+	}
+
+	private double cpuNanosPerToken(Side side, boolean routed) {
+		OperatingSystemMXBean system = ManagementFactory.getPlatformMXBean(OperatingSystemMXBean.class);
+		List<Callable<Integer>> tasks = new ArrayList<>();
+		for (int stream = 0; stream < RELAY_STREAMS; stream++) {
+			ObjectNode body = side.body(this.seed + stream, 100, RELAY_TOKENS);
+			tasks.add(() -> {
+				StreamTiming timing = new StreamTiming(new Histogram(LoadRunner.HIGHEST_NANOS, 3));
+				side.send(routed, body, timing);
+				return timing.tokens();
+			});
+		}
+		long before = system.getProcessCpuTime();
+		int tokens = all(RELAY_STREAMS, tasks);
+		return (system.getProcessCpuTime() - before) / (double) Math.max(1, tokens);
+	}
+
+	private OpenStreams heap(boolean routed) {
+		if (this.openStreams == 0) {
+			return new OpenStreams(0, 0);
+		}
+		List<Response> open = java.util.Collections.synchronizedList(new ArrayList<>());
+		try (Side side = new Side(OPEN_STREAM_TOKEN_MILLIS)) {
+			long before = usedHeap();
+			AtomicBoolean full = new AtomicBoolean();
+			List<Callable<Integer>> tasks = new ArrayList<>();
+			for (int stream = 0; stream < this.openStreams; stream++) {
+				ObjectNode body = side.body(this.seed + stream, 100, 1_000);
+				tasks.add(() -> open(side, routed, body, open, full));
+			}
+			int opened = all(OPENERS, tasks);
+			long bytes = usedHeap() - before;
+			open.forEach(Response::close);
+			return new OpenStreams(opened, bytes / Math.max(1, opened));
+		}
+	}
+
+	private static int open(Side side, boolean routed, ObjectNode body, List<Response> open, AtomicBoolean full) {
+		if (!full.get()) {
+			try {
+				open.add(side.open(routed, body));
+				return 1;
+			}
+			catch (IOException ex) {
+				// The side's limit is reached; the count says how many are open.
+				full.set(true);
+			}
+		}
+		return 0;
+	}
+
+	private static long usedHeap() {
+		for (int collection = 0; collection < 3; collection++) {
+			System.gc();
+			LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(100));
+		}
+		return ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed();
+	}
+
+	private static int all(int threads, List<Callable<Integer>> tasks) {
+		ExecutorService executor = Executors.newFixedThreadPool(threads);
+		try {
+			int sum = 0;
+			for (Future<Integer> task : executor.invokeAll(tasks)) {
+				sum += task.get();
+			}
+			return sum;
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			throw new IllegalStateException("the comparison was interrupted", ex);
+		}
+		catch (java.util.concurrent.ExecutionException ex) {
+			throw new IllegalStateException("a request of the comparison failed", ex);
+		}
+		finally {
+			executor.shutdownNow();
+		}
+	}
+
+	private record OpenStreams(int opened, long bytesPerStream) {
+
+	}
+
+	/**
+	 * One daemon with engines that are also called directly.
+	 */
+	private static final class Side implements AutoCloseable {
+
+		/** More than the open streams on each of the decode engines. */
+		private static final int SLOTS = 1_200;
+
+		private static final int PIECES = 4_000;
+
+		private static final long UNLIMITED = 1_000_000_000L;
+
+		private final ObjectMapper mapper = new ObjectMapper();
+
+		private final CompletionSender sender = new CompletionSender();
+
+		private final LocalFleet fleet;
+
+		private int nextDecode;
+
+		Side(int tokenMillis) {
+			List<EnginePlan> engines = new ArrayList<>();
+			for (int engine = 0; engine < 5; engine++) {
+				EngineRole role = (engine < 2) ? EngineRole.PREFILL : EngineRole.DECODE;
+				engines
+					.add(new EnginePlan("engine-" + engine, "dc-a", MODEL, role, SLOTS, PIECES, 200_000, tokenMillis));
+			}
+			this.fleet = LocalFleet.start(new FleetPlan(List.of(new VmPlan("vm-1", "dc-a")), engines,
+					List.of(new Team("team", UNLIMITED, UNLIMITED, 1, null)), Map.of(KEY, "team"), "fair-queue"));
+			FleetClient client = new FleetClient(this.fleet);
+			FleetAnswer submitted = client.submit("vm-1", this.fleet.firstTicket());
+			if (submitted.status() != 201 || client.awaitReady(java.time.Duration.ofSeconds(30)) < 0) {
+				throw new IllegalStateException("fleet did not become ready: " + submitted.body());
+			}
+		}
+
+		ObjectNode body(long number, int promptTokens, int outputTokens) {
+			ObjectNode body = this.mapper.createObjectNode()
+				.put("model", MODEL)
+				.put("stream", true)
+				.put("max_tokens", outputTokens);
+			body.putArray("messages")
+				.addObject()
+				.put("role", "user")
+				.put("content", number + " word".repeat(promptTokens));
+			return body;
+		}
+
+		Response open(boolean routed, ObjectNode body) throws IOException {
+			if (routed) {
+				return this.sender.routed(this.fleet.callerUrl("vm-1"), KEY, body);
+			}
+			int decode = nextDecode();
+			return this.sender.direct(this.fleet.engine("engine-" + decode % 2).url(),
+					this.fleet.engine("engine-" + (2 + decode % 3)).url(), body);
+		}
+
+		private synchronized int nextDecode() {
+			this.nextDecode++;
+			return this.nextDecode;
+		}
+
+		void send(boolean routed, ObjectNode body, StreamTiming timing) throws IOException {
+			try (Response response = open(routed, body)) {
+				timing.read(response.body().source());
+			}
+		}
+
+		@Override
+		public void close() {
+			this.sender.close();
+			this.fleet.close();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/org/skylarkstack/bench/FairShare.java
@@ -0,0 +1,48 @@
+package org.skylarkstack.bench;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Weighted max-min fair shares: no team gets more than it asks for, and what it leaves is
+ * divided among the others by weight.
+ */
+final class FairShare {
+
+	private static final double TOLERANCE = 1e-9;
+
+	private FairShare() {
+	}
+
+	/**
+	 * Divides an amount.
+	 * @param total the amount
+	 * @param demands what each team asks for
+	 * @param weights the weight of each team, above 0
+	 * @return the fair share of each team
+	 */
+	static Map<String, Double> divide(double total, Map<String, Double> demands, Map<String, Double> weights) {
+		Map<String, Double> shares = new HashMap<>();
+		Map<String, Double> open = new HashMap<>(demands);
+		double left = total;
+		while (!open.isEmpty()) {
+			double weight = open.keySet().stream().mapToDouble((team) -> weights.getOrDefault(team, 1.0)).sum();
+			double level = left / weight;
+			Map<String, Double> satisfied = new HashMap<>();
+			open.forEach((team, demand) -> {
+				if (demand <= level * weights.getOrDefault(team, 1.0) + TOLERANCE) {
+					satisfied.put(team, demand);
+				}
+			});
+			if (satisfied.isEmpty()) {
+				open.keySet().forEach((team) -> shares.put(team, level * weights.getOrDefault(team, 1.0)));
+				return shares;
+			}
+			shares.putAll(satisfied);
+			satisfied.keySet().forEach(open::remove);
+			left -= satisfied.values().stream().mapToDouble(Double::doubleValue).sum();
+		}
+		return shares;
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/org/skylarkstack/bench/FaultKind.java
@@ -0,0 +1,86 @@
+package org.skylarkstack.bench;
+
+import java.util.Locale;
+
+import org.skylarkstack.fleet.LocalFleet;
+import org.skylarkstack.standin.EngineFaults;
+import org.skylarkstack.standin.PlainServiceFault;
+
+/**
+ * Kind of fault in a schedule.
+ */
+public enum FaultKind {
+
+	/** An engine crashes and restarts after a second. */
+	CRASH_ENGINE,
+
+	/** The open connections of an engine go silent for ever; new ones work. */
+	FREEZE_ENGINE,
+
+	/** The next prefill of an engine never ends. */
+	STALL_PREFILL,
+
+	/** The next transfer to an engine never ends. */
+	STALL_TRANSFER,
+
+	/** The next stream of an engine stops. */
+	STALL_STREAM,
+
+	/** The next stream of an engine ends without its end marker. */
+	TRUNCATE_STREAM,
+
+	/** The next answer of an engine is that of another request. */
+	CROSS_ANSWER,
+
+	/** The next answer of an engine is late. */
+	LATE_ANSWER,
+
+	/** Each server of a plain service drops a connection after the effect. */
+	DROP_ENTRY,
+
+	/** The daemon of a VM dies. */
+	KILL_DAEMON,
+
+	/** The daemon of a VM stops gracefully. */
+	STOP_DAEMON,
+
+	/** The daemon of a VM starts. */
+	START_DAEMON,
+
+	/** The platform's store goes down. */
+	STORE_DOWN,
+
+	/** The platform's store comes back. */
+	STORE_UP;
+
+	private static final int RESTART_MILLIS = 1_000;
+
+	void apply(LocalFleet fleet, String target) {
+		switch (this) {
+			case CRASH_ENGINE -> fleet.engine(target).crash(RESTART_MILLIS);
+			case FREEZE_ENGINE -> fleet.engine(target).freezeConnections();
+			case STALL_PREFILL -> hit(fleet, target, EngineFaults.Counted.STALLED_PREFILL);
+			case STALL_TRANSFER -> hit(fleet, target, EngineFaults.Counted.STALLED_TRANSFER);
+			case STALL_STREAM -> hit(fleet, target, EngineFaults.Counted.STALLED_STREAM);
+			case TRUNCATE_STREAM -> hit(fleet, target, EngineFaults.Counted.TRUNCATED_STREAM);
+			case CROSS_ANSWER -> hit(fleet, target, EngineFaults.Counted.CROSSED);
+			case LATE_ANSWER -> hit(fleet, target, EngineFaults.Counted.LATE);
+			case DROP_ENTRY ->
+				fleet.services(target).forEach((service) -> service.hit(PlainServiceFault.DROP_AFTER_EFFECT, 1));
+			case KILL_DAEMON -> fleet.killDaemon(target);
+			case STOP_DAEMON -> fleet.stopDaemon(target);
+			case START_DAEMON -> fleet.startDaemon(target);
+			case STORE_DOWN -> fleet.platform().faults().down(true);
+			case STORE_UP -> fleet.platform().faults().down(false);
+		}
+	}
+
+	private static void hit(LocalFleet fleet, String engine, EngineFaults.Counted fault) {
+		fleet.engine(engine).faults().hit(fault, 1);
+	}
+
+	static FaultKind named(String name) {
+		return valueOf(name.toUpperCase(Locale.ROOT).replace('-', '_'));
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/org/skylarkstack/bench/RunResult.java
@@ -0,0 +1,16 @@
+package org.skylarkstack.bench;
+
+/**
+ * One run and its figures.
+ *
+ * @param policy the placement policy
+ * @param load the load as a factor of the measured capacity
+ * @param requestsPerSecond the mean arrival rate
+ * @param repeat the number of the repeat, from 1
+ * @param seed the seed of the arrivals
+ * @param figures the figures
+ */
+public record RunResult(String policy, double load, double requestsPerSecond, int repeat, long seed,
+		RunFigures figures) {
+
+}
--- /dev/null
+++ b/bench/src/main/java/org/skylarkstack/bench/TokenLedger.java
@@ -0,0 +1,96 @@
+package org.skylarkstack.bench;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+import org.skylarkstack.configuration.Team;
+
+/**
+ * Checks a team's requests against its limit as a caller sees them. All times are in
+ * nanoseconds on one monotonic clock.
+ */
+final class TokenLedger {
+
+	private static final double NANOS_PER_SECOND = 1e9;
+
+	private final Team team;
+
+	private final List<Outcome> outcomes;
+
+	TokenLedger(Team team, List<Outcome> outcomes) {
+		this.team = team;
+		this.outcomes = outcomes.stream()
+			.filter(Outcome::completion)
+			.sorted(Comparator.comparingLong(Outcome::sentNanos))
+			.toList();
+	}
+
+	/**
+	 * Returns the largest excess over rate x t + burst in any window. A request counts in
+	 * a window that contains it from sending to end, because it was charged in between;
+	 * it counts with the tokens that it used, which are at most those charged.
+	 * @return the tokens beyond the limit, or 0
+	 */
+	long excess() {
+		List<Outcome> charged = this.outcomes.stream().filter((outcome) -> outcome.usedTokens() > 0).toList();
+		List<Outcome> byEnd = new ArrayList<>(charged);
+		byEnd.sort(Comparator.comparingLong(Outcome::endNanos));
+		double excess = 0;
+		for (Outcome first : charged) {
+			long used = 0;
+			for (Outcome outcome : byEnd) {
+				if (outcome.sentNanos() >= first.sentNanos()) {
+					used += outcome.usedTokens();
+					double seconds = (outcome.endNanos() - first.sentNanos()) / NANOS_PER_SECOND;
+					excess = Math.max(excess, used - this.team.tokensPerSecond() * seconds - this.team.burstTokens());
+				}
+			}
+		}
+		return (long) excess;
+	}
+
+	/**
+	 * Counts requests that were refused as over the rate although one bucket for the
+	 * whole fleet, full at the start, would have had room.
+	 * @return the wrong refusals
+	 */
+	long wrongRefusals() {
+		List<Change> changes = new ArrayList<>();
+		for (Outcome outcome : this.outcomes) {
+			if ("RATE_LIMITED".equals(outcome.error())) {
+				changes.add(new Change(outcome.sentNanos(), outcome.reservedTokens(), true));
+			}
+			else if (outcome.usedTokens() > 0) {
+				changes.add(new Change(outcome.sentNanos(), outcome.reservedTokens(), false));
+				changes.add(new Change(outcome.endNanos(), -(outcome.reservedTokens() - outcome.usedTokens()), false));
+			}
+		}
+		changes.sort(Comparator.comparingLong(Change::atNanos));
+		return count(changes);
+	}
+
+	private long count(List<Change> changes) {
+		double burst = (double) this.team.burstTokens();
+		double tokens = burst;
+		long previous = changes.isEmpty() ? 0 : changes.get(0).atNanos();
+		long wrong = 0;
+		for (Change change : changes) {
+			double refill = (change.atNanos() - previous) / NANOS_PER_SECOND * this.team.tokensPerSecond();
+			tokens = Math.min(burst, tokens + refill);
+			previous = change.atNanos();
+			if (!change.refused()) {
+				tokens -= change.tokens();
+			}
+			else if (change.tokens() <= tokens) {
+				wrong++;
+			}
+		}
+		return wrong;
+	}
+
+	private record Change(long atNanos, long tokens, boolean refused) {
+
+	}
+
+}
--- /dev/null
+++ b/bench/src/test/java/org/skylarkstack/bench/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Tests of the load and experiment tool.
+ */
+@NullMarked
+package org.skylarkstack.bench;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/tool/src/main/java/org/skylarkstack/tool/BenchCommand.java
@@ -0,0 +1,82 @@
+package org.skylarkstack.tool;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Stream;
+
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+import org.skylarkstack.bench.BenchOptions;
+import org.skylarkstack.bench.BenchResults;
+import org.skylarkstack.bench.Experiment;
+import org.skylarkstack.bench.FaultStep;
+import org.skylarkstack.bench.ResultWriter;
+
+/**
+ * Runs an experiment on a fleet on loopback.
+ */
+final class BenchCommand extends Command {
+
+	private static final String DEFAULT_SEED = "1";
+
+	BenchCommand() {
+		super("bench", "run load and faults on a fleet on loopback and report figures");
+	}
+
+	@Override
+	Options options() {
+		return new Options().addOption("d", "deployment", true, "school (default) or pumps")
+			.addOption("p", "policies", true, "placement policies, separated by commas; default fair-queue")
+			.addOption("l", "loads", true, "loads as factors of the measured capacity; default 0.5,1.0,1.3")
+			.addOption("r", "repeats", true, "runs for each policy and load; default 3")
+			.addOption("t", "seconds", true, "length of a run in seconds; default 30")
+			.addOption("s", "seed", true, "seed; default 1")
+			.addOption("f", "faults", true, "fault schedule, such as 5:crash-engine:summary-model-1,9:store-down")
+			.addOption("n", "noisy-team", true, "team that sends five times its rate")
+			.addOption("D", "direct", false, "compare with engines called directly")
+			.addOption("S", "streams", true, "open streams for the heap figure of --direct; default 2000")
+			.addOption("o", "output", true, "directory for the results; default bench-results")
+			.addOption(null, "smoke", false, "small run under a minute");
+	}
+
+	@Override
+	ExitCode execute(CommandLine line) {
+		BenchOptions options = line.hasOption("smoke") ? smoke(line) : options(line);
+		BenchResults results = new Experiment(options, System.out::println).run();
+		Path page = new ResultWriter(options.output()).write(results);
+		System.out.print(ResultWriter.text(results));
+		System.out.println("report: " + page);
+		boolean held = results.runs().stream().allMatch((run) -> run.figures().breaches().total() == 0);
+		return held ? ExitCode.OK : ExitCode.FAILED;
+	}
+
+	private static BenchOptions options(CommandLine line) {
+		return new BenchOptions(line.getOptionValue("deployment", "school"), policies(line),
+				list(line.getOptionValue("loads", "0.5,1.0,1.3")).map(Double::parseDouble).toList(),
+				Integer.parseInt(line.getOptionValue("repeats", "3")),
+				Double.parseDouble(line.getOptionValue("seconds", "30")),
+				Long.parseLong(line.getOptionValue("seed", DEFAULT_SEED)),
+				FaultStep.parse(line.getOptionValue("faults", "")), line.getOptionValue("noisy-team", ""),
+				line.hasOption("direct"), Integer.parseInt(line.getOptionValue("streams", "2000")), output(line));
+	}
+
+	private static BenchOptions smoke(CommandLine line) {
+		return new BenchOptions("smoke", policies(line), List.of(0.7), 1, 4,
+				Long.parseLong(line.getOptionValue("seed", DEFAULT_SEED)),
+				FaultStep.parse(line.getOptionValue("faults", "")), line.getOptionValue("noisy-team", ""),
+				line.hasOption("direct"), Integer.parseInt(line.getOptionValue("streams", "0")), output(line));
+	}
+
+	private static List<String> policies(CommandLine line) {
+		return list(line.getOptionValue("policies", "fair-queue")).toList();
+	}
+
+	private static Path output(CommandLine line) {
+		return Path.of(line.getOptionValue("output", "bench-results"));
+	}
+
+	private static Stream<String> list(String text) {
+		return Stream.of(text.split(",")).map(String::trim).filter((part) -> !part.isEmpty());
+	}
+
+}
--- a/tool/src/main/java/org/skylarkstack/tool/Main.java
+++ b/tool/src/main/java/org/skylarkstack/tool/Main.java
@@ -11,8 +11,8 @@
  */
 public final class Main {
 
-	private static final Map<String, Command> COMMANDS = new TreeMap<>(
-			Map.of("check", new CheckCommand(), "daemon", new DaemonCommand(), "demo", new DemoCommand()));
+	private static final Map<String, Command> COMMANDS = new TreeMap<>(Map.of("check", new CheckCommand(), "bench",
+			new BenchCommand(), "daemon", new DaemonCommand(), "demo", new DemoCommand()));
 
 	private Main() {
 	}
