Report service levels from daemons' metrics

Cause: an operator could not see how fast error budgets burn, nor what burns them.

Change: `skylarkstack report` reads /metrics endpoints or saved scrapes and shows budget, burn over a short and a long window and causes for each data centre, service, team and latency target, as text, JSON and a page with a plot. Counters survive restarts. Teams are bounded to the largest and the worst few; the rest is summed. Callers' own errors do not count.

--- /dev/null
+++ b/bench/src/main/java/org/skylarkstack/report/BurnCalculator.java
@@ -0,0 +1,208 @@
+package org.skylarkstack.report;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Function;
+import java.util.function.Predicate;
+
+import org.skylarkstack.metrics.RequestOutcome;
+
+/**
+ * Computes the report from scrapes.
+ *
+ * <p>
+ * Outcomes whose cause lies with the caller (over its rate, rejected, cancelled) count
+ * neither as requests nor as failures. First tokens count for interactive requests only.
+ * The bounded teams and the series {@code team="other"} together are all teams.
+ */
+public final class BurnCalculator {
+
+	private static final String REQUESTS = "skylark_requests_total";
+
+	private static final String TEAM_REQUESTS = "skylark_team_requests_total";
+
+	private static final String OTHER = "other";
+
+	private static final String INTERACTIVE = "interactive";
+
+	private static final int CAUSES = 3;
+
+	private static final Set<String> CALLERS_OWN = Set.of(RequestOutcome.RATE_LIMITED.label(),
+			RequestOutcome.REJECTED.label(), RequestOutcome.CANCELLED.label());
+
+	private static final String OK = RequestOutcome.ANSWERED.label();
+
+	private final ServiceLevel level;
+
+	/**
+	 * Creates a calculator.
+	 * @param level the objectives
+	 */
+	public BurnCalculator(ServiceLevel level) {
+		this.level = level;
+	}
+
+	/**
+	 * Computes the report.
+	 * @param scrapes the scrapes of all daemons
+	 * @return the report
+	 */
+	public BurnReport report(List<Scrape> scrapes) {
+		CounterIncreases increases = new CounterIncreases(scrapes);
+		List<BurnRow> rows = new ArrayList<>();
+		rows.addAll(sorted(failures(increases, BurnRow.Kind.DATA_CENTRE, REQUESTS, "data_centre")));
+		rows.addAll(sorted(failures(increases, BurnRow.Kind.SERVICE, REQUESTS, "service")));
+		rows.addAll(latency(increases, "first token", "skylark_first_token_seconds", this.level.firstTokenSeconds()));
+		rows.addAll(latency(increases, "between tokens", "skylark_token_gap_seconds", this.level.tokenGapSeconds()));
+		rows.addAll(boundedTeams(failures(increases, BurnRow.Kind.TEAM, TEAM_REQUESTS, "team")));
+		int daemons = (int) scrapes.stream().map(Scrape::source).distinct().count();
+		return new BurnReport(increases.lastMillis(), daemons,
+				increases.coveredMillis(this.level.shortWindow().toMillis()) / 1_000,
+				increases.coveredMillis(this.level.longWindow().toMillis()) / 1_000, rows);
+	}
+
+	private static List<BurnRow> sorted(List<BurnRow> rows) {
+		return rows.stream()
+			.sorted(Comparator.comparing(BurnRow::state)
+				.thenComparingDouble(BurnRow::longBurn)
+				.reversed()
+				.thenComparing(BurnRow::name))
+			.toList();
+	}
+
+	private List<BurnRow> failures(CounterIncreases increases, BurnRow.Kind kind, String counter, String label) {
+		Map<String, Map<String, Double>> shortOutcomes = outcomes(
+				increases.of(counter, this.level.shortWindow().toMillis()), label);
+		Map<String, Map<String, Double>> longOutcomes = outcomes(
+				increases.of(counter, this.level.longWindow().toMillis()), label);
+		List<BurnRow> rows = new ArrayList<>();
+		longOutcomes.forEach((name, outcomes) -> rows
+			.add(row(kind, name, shortOutcomes.getOrDefault(name, Map.of()), outcomes, this.level.success())));
+		return rows;
+	}
+
+	private static Map<String, Map<String, Double>> outcomes(Map<Map<String, String>, Double> increases, String label) {
+		Map<String, Map<String, Double>> outcomes = new TreeMap<>();
+		increases.forEach((labels, increase) -> {
+			String outcome = labels.getOrDefault("outcome", "");
+			if (!CALLERS_OWN.contains(outcome)) {
+				outcomes.computeIfAbsent(labels.getOrDefault(label, ""), (name) -> new TreeMap<>())
+					.merge(outcome, increase, Double::sum);
+			}
+		});
+		return outcomes;
+	}
+
+	private static BurnRow row(BurnRow.Kind kind, String name, Map<String, Double> shortOutcomes,
+			Map<String, Double> longOutcomes, double objective) {
+		double requests = sum(longOutcomes, (outcome) -> true);
+		double failed = sum(longOutcomes, (outcome) -> !OK.equals(outcome));
+		double shortBurn = burn(sum(shortOutcomes, (outcome) -> !OK.equals(outcome)),
+				sum(shortOutcomes, (outcome) -> true), objective);
+		double longBurn = burn(failed, requests, objective);
+		return new BurnRow(kind, name, Math.round(requests), Math.round(failed), requests * (1 - objective), shortBurn,
+				longBurn, causes(longOutcomes), BurnState.of(shortBurn, longBurn));
+	}
+
+	private static double sum(Map<String, Double> outcomes, Predicate<String> filter) {
+		return outcomes.entrySet()
+			.stream()
+			.filter((entry) -> filter.test(entry.getKey()))
+			.mapToDouble(Map.Entry::getValue)
+			.sum();
+	}
+
+	private static double burn(double failed, double requests, double objective) {
+		return (requests > 0) ? failed / requests / (1 - objective) : 0;
+	}
+
+	private static Map<String, Long> causes(Map<String, Double> outcomes) {
+		Map<String, Long> causes = new LinkedHashMap<>();
+		outcomes.entrySet()
+			.stream()
+			.filter((entry) -> !OK.equals(entry.getKey()) && Math.round(entry.getValue()) > 0)
+			.sorted(Map.Entry.<String, Double>comparingByValue().reversed())
+			.limit(CAUSES)
+			.forEach((entry) -> causes.put(entry.getKey(), Math.round(entry.getValue())));
+		return causes;
+	}
+
+	private List<BurnRow> boundedTeams(List<BurnRow> teams) {
+		// The largest and the worst are kept and the rest is summed: the report must stay
+		// short with 40,000 teams.
+		Set<String> shown = new HashSet<>();
+		Function<Comparator<BurnRow>, List<String>> first = (order) -> teams.stream()
+			.filter((row) -> !OTHER.equals(row.name()))
+			.sorted(order.reversed().thenComparing(BurnRow::name))
+			.limit(this.level.teams())
+			.map(BurnRow::name)
+			.toList();
+		shown.addAll(first.apply(Comparator.comparingLong(BurnRow::requests)));
+		shown.addAll(first.apply(Comparator.comparingDouble(BurnRow::longBurn)));
+		List<BurnRow> rows = new ArrayList<>(
+				sorted(teams.stream().filter((row) -> shown.contains(row.name())).toList()));
+		teams.stream()
+			.filter((row) -> !shown.contains(row.name()))
+			.reduce(this::merge)
+			.ifPresent((rest) -> rows.add(new BurnRow(rest.kind(), "all others", rest.requests(), rest.failed(),
+					rest.budget(), rest.shortBurn(), rest.longBurn(), rest.causes(), rest.state())));
+		return rows;
+	}
+
+	private BurnRow merge(BurnRow one, BurnRow other) {
+		long requests = one.requests() + other.requests();
+		long failed = one.failed() + other.failed();
+		double longBurn = burn((double) failed, (double) requests, this.level.success());
+		// Weighted by the requests of the long window, since the rows keep no others.
+		double shortBurn = (requests > 0)
+				? (one.shortBurn() * one.requests() + other.shortBurn() * other.requests()) / requests : 0;
+		Map<String, Double> outcomes = new TreeMap<>();
+		one.causes().forEach((cause, times) -> outcomes.merge(cause, (double) times, Double::sum));
+		other.causes().forEach((cause, times) -> outcomes.merge(cause, (double) times, Double::sum));
+		return new BurnRow(one.kind(), one.name(), requests, failed, one.budget() + other.budget(), shortBurn, longBurn,
+				causes(outcomes), BurnState.of(shortBurn, longBurn));
+	}
+
+	private List<BurnRow> latency(CounterIncreases increases, String name, String histogram, double targetSeconds) {
+		Map<String, Map<String, Double>> shortOutcomes = speeds(
+				increases.of(histogram + "_bucket", this.level.shortWindow().toMillis()), targetSeconds);
+		Map<String, Map<String, Double>> longOutcomes = speeds(
+				increases.of(histogram + "_bucket", this.level.longWindow().toMillis()), targetSeconds);
+		List<BurnRow> rows = new ArrayList<>();
+		longOutcomes.forEach(
+				(place, outcomes) -> rows.add(row(BurnRow.Kind.LATENCY, place.isEmpty() ? name : name + " in " + place,
+						shortOutcomes.getOrDefault(place, Map.of()), outcomes, this.level.fast())));
+		return sorted(rows);
+	}
+
+	private static Map<String, Map<String, Double>> speeds(Map<Map<String, String>, Double> buckets, double target) {
+		Map<String, TreeMap<Double, Double>> byPlace = new TreeMap<>();
+		buckets.forEach((labels, increase) -> {
+			if (!INTERACTIVE.equals(labels.getOrDefault("class", INTERACTIVE))) {
+				return;
+			}
+			String bound = labels.getOrDefault("le", "+Inf");
+			double le = "+Inf".equals(bound) ? Double.POSITIVE_INFINITY : Double.parseDouble(bound);
+			byPlace.computeIfAbsent(labels.getOrDefault("data_centre", ""), (place) -> new TreeMap<>())
+				.merge(le, increase, Double::sum);
+		});
+		Map<String, Map<String, Double>> speeds = new TreeMap<>();
+		byPlace.forEach((place, bounds) -> {
+			// The highest bound that does not exceed the target, so that a missed target
+			// is
+			// never taken for a met one.
+			Map.Entry<Double, Double> within = bounds.floorEntry(target);
+			double fast = (within != null) ? within.getValue() : 0;
+			double all = bounds.getOrDefault(Double.POSITIVE_INFINITY, fast);
+			speeds.put(place, Map.of(OK, fast, "later than %s s".formatted(target), Math.max(0, all - fast)));
+		});
+		return speeds;
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/org/skylarkstack/report/CounterIncreases.java
@@ -0,0 +1,92 @@
+package org.skylarkstack.report;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * Increases of counters over a time window, summed over all daemons.
+ *
+ * <p>
+ * A counter that fell was reset by a restart and counts from 0. A daemon whose first
+ * scrape is later than the first of all scrapes started since and counts from 0. When all
+ * scrapes of the daemons are of the same time, the counters count from the daemons'
+ * start.
+ */
+final class CounterIncreases {
+
+	private final Map<String, List<Scrape>> bySource = new TreeMap<>();
+
+	private final long firstMillis;
+
+	private final long lastMillis;
+
+	CounterIncreases(List<Scrape> scrapes) {
+		List<Scrape> sorted = new ArrayList<>(scrapes);
+		sorted.sort(Comparator.comparingLong(Scrape::epochMillis));
+		sorted.forEach(
+				(scrape) -> this.bySource.computeIfAbsent(scrape.source(), (source) -> new ArrayList<>()).add(scrape));
+		this.firstMillis = sorted.isEmpty() ? 0 : sorted.get(0).epochMillis();
+		this.lastMillis = sorted.isEmpty() ? 0 : sorted.get(sorted.size() - 1).epochMillis();
+	}
+
+	long lastMillis() {
+		return this.lastMillis;
+	}
+
+	/**
+	 * Returns how long the scrapes cover of a window.
+	 * @param windowMillis the window in milliseconds
+	 * @return the covered time in milliseconds
+	 */
+	long coveredMillis(long windowMillis) {
+		return Math.min(windowMillis, this.lastMillis - this.firstMillis);
+	}
+
+	/**
+	 * Returns the increases of a counter by labels.
+	 * @param name the counter
+	 * @param windowMillis the window before the last scrape, in milliseconds
+	 * @return the increases
+	 */
+	Map<Map<String, String>, Double> of(String name, long windowMillis) {
+		Map<Map<String, String>, Double> increases = new HashMap<>();
+		this.bySource.values().forEach((scrapes) -> add(increases, name, scrapes, this.lastMillis - windowMillis));
+		return increases;
+	}
+
+	private void add(Map<Map<String, String>, Double> increases, String name, List<Scrape> scrapes, long fromMillis) {
+		int base = 0;
+		for (int scrape = 0; scrape < scrapes.size(); scrape++) {
+			if (scrapes.get(scrape).epochMillis() <= fromMillis) {
+				base = scrape;
+			}
+		}
+		boolean sinceStart = base == 0 && scrapes.get(0).epochMillis() > fromMillis
+				&& (scrapes.size() == 1 || scrapes.get(0).epochMillis() > this.firstMillis);
+		Map<Map<String, String>, Double> previous = sinceStart ? Map.of() : values(scrapes.get(base), name);
+		for (int scrape = sinceStart ? 0 : base + 1; scrape < scrapes.size(); scrape++) {
+			Map<Map<String, String>, Double> next = values(scrapes.get(scrape), name);
+			for (Map.Entry<Map<String, String>, Double> entry : next.entrySet()) {
+				double before = previous.getOrDefault(entry.getKey(), 0.0);
+				double value = entry.getValue();
+				increases.merge(entry.getKey(), (value >= before) ? value - before : value, Double::sum);
+			}
+			previous = next;
+		}
+	}
+
+	private static Map<Map<String, String>, Double> values(Scrape scrape, String name) {
+		Map<Map<String, String>, Double> values = new HashMap<>();
+		for (MetricSample sample : scrape.samples()) {
+			if (sample.name().equals(name)) {
+				values.merge(sample.labels(), sample.value(), Double::sum);
+			}
+		}
+		return values;
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/org/skylarkstack/report/PrometheusText.java
@@ -0,0 +1,108 @@
+package org.skylarkstack.report;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Parser of the Prometheus text format. Comments, timestamps and exemplars are skipped.
+ */
+final class PrometheusText {
+
+	private final String line;
+
+	private int position;
+
+	private PrometheusText(String line) {
+		this.line = line;
+	}
+
+	/**
+	 * Parses a text.
+	 * @param text the text
+	 * @return the samples in order
+	 * @throws IllegalArgumentException if a line is malformed
+	 */
+	static List<MetricSample> parse(String text) {
+		List<MetricSample> samples = new ArrayList<>();
+		text.lines()
+			.map(String::strip)
+			.filter((line) -> !line.isEmpty() && !line.startsWith("#"))
+			.forEach((line) -> samples.add(new PrometheusText(line).sample()));
+		return samples;
+	}
+
+	private MetricSample sample() {
+		try {
+			String name = until("{ \t");
+			Map<String, String> labels = new HashMap<>();
+			if (current() == '{') {
+				this.position++;
+				readLabels(labels);
+			}
+			skipBlanks();
+			return new MetricSample(name, labels, number(until(" \t")));
+		}
+		catch (NumberFormatException | StringIndexOutOfBoundsException ex) {
+			throw new IllegalArgumentException("line \"%s\" is not Prometheus text".formatted(this.line), ex);
+		}
+	}
+
+	private void readLabels(Map<String, String> labels) {
+		skipBlanks();
+		while (current() != '}') {
+			String name = until("= \t");
+			this.position = this.line.indexOf('"', this.position) + 1;
+			labels.put(name, quoted());
+			skipBlanks();
+			if (current() == ',') {
+				this.position++;
+				skipBlanks();
+			}
+		}
+		this.position++;
+	}
+
+	private String quoted() {
+		StringBuilder value = new StringBuilder();
+		while (current() != '"') {
+			char character = current();
+			if (character == '\\') {
+				this.position++;
+				character = (current() == 'n') ? '\n' : current();
+			}
+			value.append(character);
+			this.position++;
+		}
+		this.position++;
+		return value.toString();
+	}
+
+	private char current() {
+		return this.line.charAt(this.position);
+	}
+
+	private String until(String ends) {
+		int start = this.position;
+		while (this.position < this.line.length() && ends.indexOf(current()) < 0) {
+			this.position++;
+		}
+		return this.line.substring(start, this.position);
+	}
+
+	private void skipBlanks() {
+		while (this.position < this.line.length() && Character.isWhitespace(current())) {
+			this.position++;
+		}
+	}
+
+	private static double number(String text) {
+		return switch (text) {
+			case "+Inf" -> Double.POSITIVE_INFINITY;
+			case "-Inf" -> Double.NEGATIVE_INFINITY;
+			default -> Double.parseDouble(text);
+		};
+	}
+
+}
--- /dev/null
+++ b/bench/src/test/java/org/skylarkstack/report/BurnCalculatorTests.java
@@ -0,0 +1,123 @@
+package org.skylarkstack.report;
+
+import java.net.URISyntaxException;
+import java.net.URL;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests of the service-level report on saved scrapes of two daemons. vm-1 runs all the
+ * time; vm-2 starts within the long window and restarts within it.
+ */
+class BurnCalculatorTests {
+
+	private static final ServiceLevel LEVEL = new ServiceLevel(0.999, 0.95, 0.52, 0.051, Duration.ofMinutes(5),
+			Duration.ofHours(1), 1);
+
+	private final BurnReport report = new BurnCalculator(LEVEL).report(scrapes());
+
+	private static List<Scrape> scrapes() {
+		URL file = Objects
+			.requireNonNull(BurnCalculatorTests.class.getResource("/org/skylarkstack/report/vm-1@1000000.prom"));
+		try {
+			return new ScrapeStore().load(Objects.requireNonNull(Path.of(file.toURI()).getParent()));
+		}
+		catch (URISyntaxException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
+	private BurnRow row(BurnRow.Kind kind, String name) {
+		return this.report.rows()
+			.stream()
+			.filter((row) -> row.kind() == kind && row.name().equals(name))
+			.findFirst()
+			.orElseThrow(() -> new AssertionError("no row " + name + " in " + this.report));
+	}
+
+	/** Guards against a burn over the wrong window and callers' errors in the budget. */
+	@Test
+	void countsFailuresWithinTheWindows() {
+		BurnRow row = row(BurnRow.Kind.DATA_CENTRE, "dc-a");
+		assertThat(row.requests()).isEqualTo(10_000);
+		assertThat(row.failed()).isEqualTo(100);
+		assertThat(row.longBurn()).isWithin(1e-6).of(10);
+		assertThat(row.shortBurn()).isWithin(1e-6).of(0);
+		assertThat(row.causes()).isEqualTo(Map.of("failed", 100L));
+		assertThat(row.state()).isEqualTo(BurnState.OK);
+	}
+
+	/** Guards against requests that vanish or turn negative when a daemon restarts. */
+	@Test
+	void countsAcrossARestart() {
+		BurnRow row = row(BurnRow.Kind.DATA_CENTRE, "dc-b");
+		assertThat(row.requests()).isEqualTo(300);
+		assertThat(row.failed()).isEqualTo(140);
+		assertThat(row.state()).isEqualTo(BurnState.ACT_NOW);
+		assertThat(this.report.state()).isEqualTo(BurnState.ACT_NOW);
+	}
+
+	/** Guards against late tokens that count as fast, and against batch in the target. */
+	@Test
+	void countsLateFirstTokensOfInteractiveRequests() {
+		BurnRow row = row(BurnRow.Kind.LATENCY, "first token");
+		assertThat(row.requests()).isEqualTo(200);
+		assertThat(row.failed()).isEqualTo(20);
+		assertThat(row.shortBurn()).isWithin(1e-6).of(2);
+		assertThat(row.longBurn()).isWithin(1e-6).of(2);
+		assertThat(row.state()).isEqualTo(BurnState.WATCH);
+	}
+
+	/** Guards against a page of 40,000 teams, and against teams that are left out. */
+	@Test
+	void showsLargestAndWorstTeamsAndSumsTheRest() {
+		List<BurnRow> teams = this.report.rows().stream().filter((row) -> row.kind() == BurnRow.Kind.TEAM).toList();
+		assertThat(teams.stream().map(BurnRow::name).toList())
+			.containsExactly("a \"quoted\" \\ team", "north", "all others")
+			.inOrder();
+		assertThat(teams.get(2).requests()).isEqualTo(13);
+		assertThat(teams.get(2).causes()).isEqualTo(Map.of("overloaded", 3L));
+	}
+
+	/** Guards against a single scrape that shows nothing. */
+	@Test
+	void oneScrapeCountsFromTheStart() {
+		BurnReport first = new BurnCalculator(LEVEL)
+			.report(scrapes().stream().filter((scrape) -> scrape.epochMillis() == 1_000_000).toList());
+		assertThat(first.longSeconds()).isEqualTo(0);
+		assertThat(first.rows().get(0).requests()).isEqualTo(1_500);
+	}
+
+	/** Guards against output that leaves out the state or its cause. */
+	@Test
+	void writesTextJsonAndPage(@TempDir Path directory) throws java.io.IOException {
+		assertThat(BurnReportWriter.text(this.report)).contains("overloaded 140");
+		assertThat(BurnReportWriter.text(this.report).lines().count()).isLessThan(30);
+		Path page = BurnReportWriter.write(this.report, directory);
+		assertThat(Files.readString(page)).contains("data:image/png;base64,iVBOR");
+		assertThat(Files.readString(directory.resolve("burn.json"))).contains("\"ACT_NOW\"");
+	}
+
+	/** Guards against a malformed line that is skipped in silence. */
+	@Test
+	void rejectsMalformedText() {
+		IllegalArgumentException failure = null;
+		try {
+			PrometheusText.parse("metric{label=\"open} 1");
+		}
+		catch (IllegalArgumentException ex) {
+			failure = ex;
+		}
+		assertThat(failure).isNotNull();
+	}
+
+}
--- a/tool/src/main/java/org/skylarkstack/tool/Main.java
+++ b/tool/src/main/java/org/skylarkstack/tool/Main.java
@@ -13,7 +13,7 @@
 
 	private static final Map<String, Command> COMMANDS = new TreeMap<>(
 			Map.of("bench", new BenchCommand(), "check", new CheckCommand(), "daemon", new DaemonCommand(), "demo",
-					new DemoCommand(), "standin", new StandinCommand()));
+					new DemoCommand(), "report", new ReportCommand(), "standin", new StandinCommand()));
 
 	private Main() {
 	}
--- a/tool/src/test/java/org/skylarkstack/tool/MainTests.java
+++ b/tool/src/test/java/org/skylarkstack/tool/MainTests.java
@@ -34,7 +34,7 @@
 	@Test
 	void helpExitsWithZero() {
 		assertThat(Main.run(List.of("--help"))).isEqualTo(0);
-		for (String command : List.of("bench", "check", "daemon", "demo", "standin")) {
+		for (String command : List.of("bench", "check", "daemon", "demo", "report", "standin")) {
 			assertThat(Main.run(List.of(command, "--help"))).isEqualTo(0);
 		}
 	}
