--- /dev/null
+++ b/bench/src/test/java/org/skylarkstack/fleet/LocalFleetTests.java
@@ -0,0 +1,80 @@
+package org.skylarkstack.fleet;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+
+import org.junit.jupiter.api.Test;
+import org.skylarkstack.configuration.EngineRole;
+import org.skylarkstack.configuration.ObjectKind;
+import org.skylarkstack.configuration.Route;
+import org.skylarkstack.configuration.Team;
+import org.skylarkstack.configuration.TicketChange;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests of {@link LocalFleet}.
+ */
+class LocalFleetTests {
+
+	private static final String KEY = "key";
+
+	private static final Duration READY = Duration.ofSeconds(30);
+
+	private static FleetPlan plan() {
+		return new FleetPlan(List.of(new VmPlan("vm-1", "dc-a"), new VmPlan("vm-2", "dc-b")),
+				List.of(new EnginePlan("prefill", "dc-a", "model", EngineRole.PREFILL, 20, 64, 20_000, 20),
+						new EnginePlan("decode", "dc-b", "model", EngineRole.DECODE, 20, 64, 20_000, 20)),
+				List.of(new Team("team", 100_000, 1_000_000, 1, null)), Map.of(KEY, "team"),
+				List.of(new ServicePlan("records", List.of("dc-a", "dc-b"))),
+				List.of(new Route("bookings", "/bookings", Set.of("POST"), "records", false, true)), "fair-queue");
+	}
+
+	private static void await(BooleanSupplier condition) throws InterruptedException {
+		for (int attempt = 0; attempt < 1_500 && !condition.getAsBoolean(); attempt++) {
+			Thread.sleep(20);
+		}
+		assertThat(condition.getAsBoolean()).isTrue();
+	}
+
+	/** Guards against a killed daemon that ends its streams or answers in good order. */
+	@Test
+	void killedDaemonBreaksItsConnectionsAndOthersGoOn() throws InterruptedException {
+		try (LocalFleet fleet = LocalFleet.start(plan())) {
+			FleetClient client = new FleetClient(fleet);
+			assertThat(client.submit("vm-1", fleet.firstTicket()).status()).isEqualTo(201);
+			assertThat(client.awaitReady(READY)).isAtLeast(0L);
+			CompletableFuture<FleetAnswer> broken = CompletableFuture
+				.supplyAsync(() -> client.send(client.chat("vm-1", KEY, "model", "long", 2_000)));
+			await(() -> fleet.engine("decode").load().running() == 1);
+			fleet.killDaemon("vm-1");
+			assertThat(broken.join().isWholeStream()).isFalse();
+			assertThat(fleet.vmIds()).containsExactly("vm-2");
+			assertThat(client.send(client.chat("vm-2", KEY, "model", "short", 4)).isWholeStream()).isTrue();
+			await(() -> fleet.engine("decode").held().isEmpty());
+			fleet.startDaemon("vm-1");
+			assertThat(client.awaitReady(READY)).isAtLeast(0L);
+			assertThat(client.send(client.chat("vm-1", KEY, "model", "short", 4)).isWholeStream()).isTrue();
+		}
+	}
+
+	/** Guards against planned services and routes that are left out of the ticket. */
+	@Test
+	void firstTicketSetsUpServicesAndRoutes() {
+		try (LocalFleet fleet = LocalFleet.start(plan())) {
+			List<ObjectKind> kinds = fleet.firstTicket()
+				.changes()
+				.stream()
+				.map(TicketChange::key)
+				.map((key) -> key.kind())
+				.toList();
+			assertThat(kinds).containsAtLeast(ObjectKind.SERVICE, ObjectKind.ROUTE);
+			assertThat(fleet.services("records")).hasSize(2);
+		}
+	}
+
+}
--- /dev/null
+++ b/bench/src/test/java/org/skylarkstack/fleet/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Tests of local fleets.
+ */
+@NullMarked
+package org.skylarkstack.fleet;
+
+import org.jspecify.annotations.NullMarked;
--- a/standin/src/main/java/org/skylarkstack/standin/EngineStandIn.java
+++ b/standin/src/main/java/org/skylarkstack/standin/EngineStandIn.java
@@ -505,9 +505,10 @@
 		end(openStream(context), exchange.body());
 	}
 
-	private static OutputStream openStream(Context context) {
+	private static OutputStream openStream(Context context) throws IOException {
 		context.contentType("text/event-stream");
-		return context.outputStream();
+		// Flushing Javalin's own stream does not send what was written to it.
+		return context.res().getOutputStream();
 	}
 
 	private void crossEvent(OutputStream output) throws IOException {
--- a/standin/src/main/java/org/skylarkstack/standin/HttpStandIn.java
+++ b/standin/src/main/java/org/skylarkstack/standin/HttpStandIn.java
@@ -3,6 +3,7 @@
 import java.util.function.Consumer;
 
 import io.javalin.Javalin;
+import io.javalin.compression.CompressionStrategy;
 import io.javalin.config.JavalinConfig;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.server.Connector;
@@ -31,6 +32,7 @@
 	HttpStandIn(int port, int maxThreads, Consumer<JavalinConfig> routes) {
 		this.server = Javalin.create((config) -> {
 			config.startup.showJavalinBanner = false;
+			config.http.compressionStrategy = CompressionStrategy.NONE;
 			QueuedThreadPool threads = new QueuedThreadPool(maxThreads);
 			threads.setName("stand-in");
 			threads.setStopTimeout(STOP_MILLIS);
