--- a/tool/src/main/java/org/skylarkstack/tool/Main.java
+++ b/tool/src/main/java/org/skylarkstack/tool/Main.java
@@ -11,9 +11,13 @@
  */
 public final class Main {
 
-	private static final Map<String, Command> COMMANDS = new TreeMap<>(
-			Map.of("check", new CheckCommand(), "daemon", new DaemonCommand(), "demo", new DemoCommand(), "standin",
-					new StandinCommand(), "ticket", new TicketCommand()));
+	private static final Map<String, Command> COMMANDS = new TreeMap<>(Map.of("bench", new BenchCommand(), "check",
+			new CheckCommand(), "daemon", new DaemonCommand(), "demo", new DemoCommand(), "report", new ReportCommand(),
+			"standin", new StandinCommand(), "ticket", new TicketCommand()));
+=======
+			Map.of("bench", new BenchCommand(), "check", new CheckCommand(), "daemon", new DaemonCommand(), "demo",
+					new DemoCommand(), "report", new ReportCommand(), "standin", new StandinCommand()));
+>>>>>>> bench
 
 	private Main() {
 	}
