Wire membership, lending, soft-owner placement and recovery into the daemon

Cause: the parts were built against stand-ins for each other. Change: Dagger modules for platform, fleet, requests and APIs; duties that start and stop in order; a kill that announces, cancels and returns nothing; metrics of the parts. Conclusion: all daemons of a fleet now decide together.

--- /dev/null
+++ b/daemon/src/main/java/org/skylarkstack/daemon/ApiModule.java
@@ -0,0 +1,92 @@
+package org.skylarkstack.daemon;
+
+import dagger.Module;
+import dagger.Provides;
+import jakarta.inject.Singleton;
+import org.skylarkstack.configuration.ConfigurationHolder;
+import org.skylarkstack.configuration.ConfirmationTable;
+import org.skylarkstack.configuration.KeyFreshness;
+import org.skylarkstack.configuration.TicketLog;
+import org.skylarkstack.engine.BackendClients;
+import org.skylarkstack.http.Authenticator;
+import org.skylarkstack.http.CallerApi;
+import org.skylarkstack.http.CallerWatch;
+import org.skylarkstack.http.ClaimGate;
+import org.skylarkstack.http.OperatorApi;
+import org.skylarkstack.http.ServiceApi;
+import org.skylarkstack.metrics.RouterMetrics;
+import org.skylarkstack.misc.TimeSource;
+import org.skylarkstack.request.IdempotencyClaims;
+import org.skylarkstack.request.OpenRequests;
+import org.skylarkstack.request.RequestIds;
+import org.skylarkstack.request.RequestPipeline;
+import org.skylarkstack.request.RetryBudget;
+import org.skylarkstack.request.RetryPolicy;
+import org.skylarkstack.request.ServiceProxy;
+import org.skylarkstack.request.ServiceTargets;
+import org.skylarkstack.request.ShutdownSequence;
+import org.skylarkstack.settings.DaemonSettings;
+
+/**
+ * Provides the HTTP surfaces and the metrics.
+ */
+@Module
+final class ApiModule {
+
+	private ApiModule() {
+	}
+
+	@Provides
+	@Singleton
+	static RouterMetrics metrics(DaemonSettings settings) {
+		return new RouterMetrics(settings.dataCentre());
+	}
+
+	@Provides
+	@Singleton
+	static Authenticator authenticator(ConfigurationHolder configuration, KeyFreshness freshness, TimeSource time) {
+		return new Authenticator(configuration, freshness, time);
+	}
+
+	@Provides
+	@Singleton
+	static ClaimGate claimGate(IdempotencyClaims claims, RequestIds ids) {
+		return new ClaimGate(claims, ids);
+	}
+
+	@Provides
+	@Singleton
+	static CallerWatch callerWatch() {
+		return new CallerWatch();
+	}
+
+	@Provides
+	@Singleton
+	static ServiceApi serviceApi(DaemonSettings settings, ConfigurationHolder configuration,
+			Authenticator authenticator, OpenRequests openRequests, CallerWatch watch, ClaimGate claims,
+			BackendClients clients, RetryBudget retryBudget, TimeSource time) {
+		ServiceProxy proxy = new ServiceProxy(configuration, clients, new ServiceTargets(settings.dataCentre()),
+				retryBudget, new RetryPolicy(retryBudget), settings.backendTimeouts().serviceIdleMillis(), time);
+		return new ServiceApi(configuration, authenticator, openRequests, watch, claims, proxy, settings.callerLimits(),
+				time);
+	}
+
+	@Provides
+	@Singleton
+	static CallerApi callerApi(DaemonSettings settings, ConfigurationHolder configuration, Authenticator authenticator,
+			RequestPipeline pipeline, ServiceApi services, OpenRequests openRequests, CallerWatch watch,
+			ClaimGate claims, ShutdownSequence shutdown, TimeSource time) {
+		return new CallerApi(configuration, authenticator, pipeline, services, openRequests, watch, claims,
+				settings.callerLimits(), time, () -> shutdown.phase().ready());
+	}
+
+	@Provides
+	@Singleton
+	static OperatorApi operatorApi(DaemonSettings settings, Authenticator authenticator, TicketLog tickets,
+			ConfigurationHolder configuration, ConfirmationTable confirmations, KeyFreshness freshness,
+			TimeSource time) {
+		return new OperatorApi(authenticator, tickets, configuration, confirmations, freshness, time,
+				settings.operatorKeyHash());
+	}
+
+}
--- a/daemon/src/main/java/org/skylarkstack/daemon/Daemon.java
+++ b/daemon/src/main/java/org/skylarkstack/daemon/Daemon.java
@@ -1,20 +1,21 @@
 package org.skylarkstack.daemon;
 
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
+import java.util.List;
 
 import io.javalin.Javalin;
 import jakarta.inject.Inject;
 import jakarta.inject.Singleton;
-import org.skylarkstack.configuration.TicketLog;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.server.Connector;
 import org.skylarkstack.http.CallerApi;
 import org.skylarkstack.http.OperatorApi;
+import org.skylarkstack.membership.MembershipService;
+import org.skylarkstack.metrics.RouterMetrics;
+import org.skylarkstack.peer.TcpPeerTransport;
 import org.skylarkstack.request.OpenRequests;
 import org.skylarkstack.request.ShutdownSequence;
 import org.skylarkstack.settings.DaemonSettings;
 import org.skylarkstack.settings.ListenAddress;
-import org.skylarkstack.store.StoreException;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -26,8 +27,6 @@
 
 	private static final Logger LOG = LoggerFactory.getLogger(Daemon.class);
 
-	private static final long TICKET_POLL_MILLIS = 500;
-
 	private static final long SHUTDOWN_POLL_MILLIS = 20;
 
 	private static final int MAX_END_POLLS = 50;
@@ -38,10 +37,7 @@
 
 	private final OperatorApi operatorApi;
 
-	private final TicketLog tickets;
-
-	private final ScheduledExecutorService poller = Executors
-		.newSingleThreadScheduledExecutor((task) -> new Thread(task, "ticket-poll"));
+	private final FleetDuties fleetDuties;
 
 	private final RequestDuties requestDuties;
 
@@ -49,6 +45,8 @@
 
 	private final OpenRequests openRequests;
 
+	private final DaemonMetrics metrics;
+
 	private final Javalin callerServer;
 
 	private final Javalin operatorServer;
@@ -58,21 +56,23 @@
 	 * @param settings the settings
 	 * @param callerApi the API for callers
 	 * @param operatorApi the API for operators
-	 * @param tickets the ticket log
+	 * @param fleetDuties the threads of what daemons decide together
 	 * @param requestDuties the periodic work of the request path
 	 * @param shutdown the order of a graceful shutdown
 	 * @param openRequests the open requests
+	 * @param metrics the metrics
 	 */
 	@Inject
-	public Daemon(DaemonSettings settings, CallerApi callerApi, OperatorApi operatorApi, TicketLog tickets,
-			RequestDuties requestDuties, ShutdownSequence shutdown, OpenRequests openRequests) {
+	Daemon(DaemonSettings settings, CallerApi callerApi, OperatorApi operatorApi, FleetDuties fleetDuties,
+			RequestDuties requestDuties, ShutdownSequence shutdown, OpenRequests openRequests, DaemonMetrics metrics) {
 		this.settings = settings;
 		this.callerApi = callerApi;
 		this.operatorApi = operatorApi;
-		this.tickets = tickets;
+		this.fleetDuties = fleetDuties;
 		this.requestDuties = requestDuties;
 		this.shutdown = shutdown;
 		this.openRequests = openRequests;
+		this.metrics = metrics;
 		this.callerServer = Javalin.create((config) -> {
 			config.startup.showJavalinBanner = false;
 			this.callerApi.register(config);
@@ -80,6 +80,8 @@
 		this.operatorServer = Javalin.create((config) -> {
 			config.startup.showJavalinBanner = false;
 			this.operatorApi.register(config);
+			config.routes.get("/metrics", (context) -> context.contentType(RouterMetrics.CONTENT_TYPE)
+				.result(this.metrics.metrics().scrape()));
 		});
 	}
 
@@ -97,10 +99,10 @@
 	private void run() {
 		ListenAddress caller = this.settings.callerAddress();
 		ListenAddress operator = this.settings.operatorAddress();
+		this.fleetDuties.start();
+		this.requestDuties.start();
 		this.callerServer.start(caller.host(), caller.port());
 		this.operatorServer.start(operator.host(), operator.port());
-		this.poller.scheduleWithFixedDelay(this::poll, 0, TICKET_POLL_MILLIS, TimeUnit.MILLISECONDS);
-		this.requestDuties.start();
 		LOG.atInfo()
 			.addKeyValue("event", "daemon_started")
 			.addKeyValue("vm", this.settings.vmId())
@@ -109,15 +111,6 @@
 			.log();
 	}
 
-	private void poll() {
-		try {
-			this.tickets.catchUp();
-		}
-		catch (StoreException ex) {
-			LOG.atWarn().addKeyValue("event", "ticket_poll_failed").addKeyValue("reason", ex.getMessage()).log();
-		}
-	}
-
 	/**
 	 * Returns the port for callers.
 	 * @return the port
@@ -134,9 +127,26 @@
 		return this.operatorServer.port();
 	}
 
+	/**
+	 * Returns the peer transport, for counters and fault switches.
+	 * @return the transport
+	 */
+	public TcpPeerTransport transport() {
+		return this.fleetDuties.transport();
+	}
+
+	/**
+	 * Returns the membership.
+	 * @return the service
+	 */
+	public MembershipService membership() {
+		return this.fleetDuties.membership();
+	}
+
 	/** Shuts down without cutting a request off, within the bounds of the settings. */
 	public void shutDown() {
 		this.shutdown.begin(System.nanoTime());
+		this.fleetDuties.leave();
 		while (pollShutdown() != ShutdownSequence.Phase.STOPPED) {
 			if (!pause()) {
 				break;
@@ -167,10 +177,27 @@
 		}
 	}
 
+	/**
+	 * Closes all connections at once and stops, as if the process had died: nothing is
+	 * announced, cancelled or returned.
+	 */
+	public void kill() {
+		this.fleetDuties.transport().close();
+		this.requestDuties.kill();
+		for (Javalin server : List.of(this.callerServer, this.operatorServer)) {
+			for (Connector connector : server.jettyServer().server().getConnectors()) {
+				connector.getConnectedEndPoints().forEach(EndPoint::close);
+			}
+		}
+		this.callerServer.stop();
+		this.operatorServer.stop();
+		this.fleetDuties.kill();
+	}
+
 	/** Stops at once; open requests end with an explicit error where that can be sent. */
 	@Override
 	public void close() {
-		this.poller.shutdownNow();
+		this.fleetDuties.leave();
 		this.openRequests.refuseNew();
 		this.openRequests.endAll();
 		// Gives the ended requests the time to tell their callers.
@@ -180,6 +207,7 @@
 		this.callerServer.stop();
 		this.operatorServer.stop();
 		this.requestDuties.close();
+		this.fleetDuties.close();
 	}
 
 }
--- a/daemon/src/main/java/org/skylarkstack/daemon/DaemonComponent.java
+++ b/daemon/src/main/java/org/skylarkstack/daemon/DaemonComponent.java
@@ -9,7 +9,7 @@
  * Assembles a daemon.
  */
 @Singleton
-@Component(modules = DaemonModule.class)
+@Component(modules = { PlatformModule.class, FleetModule.class, RequestModule.class, ApiModule.class })
 interface DaemonComponent {
 
 	Daemon daemon();
--- /dev/null
+++ b/daemon/src/main/java/org/skylarkstack/daemon/FleetDuties.java
@@ -0,0 +1,85 @@
+package org.skylarkstack.daemon;
+
+import jakarta.inject.Inject;
+import jakarta.inject.Singleton;
+import org.skylarkstack.configuration.ConfigurationDuty;
+import org.skylarkstack.limit.LendingTeamLimiter;
+import org.skylarkstack.membership.MembershipService;
+import org.skylarkstack.peer.TcpPeerTransport;
+import org.skylarkstack.schedule.LoadPolling;
+import org.skylarkstack.schedule.SoftOwnerPlacer;
+
+/**
+ * Threads of what daemons decide together, started and stopped in the order in which they
+ * depend on each other.
+ */
+@Singleton
+final class FleetDuties implements AutoCloseable {
+
+	private final TcpPeerTransport transport;
+
+	private final MembershipService membership;
+
+	private final ConfigurationDuty configuration;
+
+	private final LendingTeamLimiter limiter;
+
+	private final SoftOwnerPlacer placer;
+
+	private final LoadPolling loadPolling;
+
+	@Inject
+	FleetDuties(TcpPeerTransport transport, MembershipService membership, ConfigurationDuty configuration,
+			LendingTeamLimiter limiter, SoftOwnerPlacer placer, LoadPolling loadPolling) {
+		this.transport = transport;
+		this.membership = membership;
+		this.configuration = configuration;
+		this.limiter = limiter;
+		this.placer = placer;
+		this.loadPolling = loadPolling;
+	}
+
+	void start() {
+		this.membership.onAppliedNumber(
+				(vmId, incarnation, number, nowNanos) -> this.configuration.report(vmId, number, nowNanos));
+		this.transport.start();
+		this.membership.start();
+		this.configuration.start(this.transport);
+		this.limiter.start();
+		this.placer.start();
+		this.loadPolling.start();
+	}
+
+	TcpPeerTransport transport() {
+		return this.transport;
+	}
+
+	MembershipService membership() {
+		return this.membership;
+	}
+
+	/** Tells the peers that this VM takes no new shared work. */
+	void leave() {
+		this.membership.leave();
+	}
+
+	/** Stops without telling anybody, as if the process had died. */
+	void kill() {
+		this.limiter.abandon();
+		this.loadPolling.close();
+		this.placer.close();
+		this.configuration.close();
+		this.membership.close();
+	}
+
+	@Override
+	public void close() {
+		this.loadPolling.close();
+		this.placer.close();
+		this.limiter.close();
+		this.configuration.close();
+		this.membership.close();
+		this.transport.close();
+	}
+
+}
--- a/daemon/src/main/java/org/skylarkstack/daemon/RequestDuties.java
+++ b/daemon/src/main/java/org/skylarkstack/daemon/RequestDuties.java
@@ -106,12 +106,24 @@
 				TimeSource.system().epochMillis());
 	}
 
-	@Override
-	public void close() {
+	/**
+	 * Stops without another call to the store or an engine, as if the process had died.
+	 */
+	void kill() {
+		stopThreads();
+		this.canceller.abandon();
+	}
+
+	private void stopThreads() {
 		this.watchDuty.shutdownNow();
 		this.engineDuty.shutdownNow();
 		this.storeDuty.shutdownNow();
 		this.cancelDuty.shutdownNow();
+	}
+
+	@Override
+	public void close() {
+		stopThreads();
 		this.repairs.step(TimeSource.system().nanos());
 		this.canceller.close();
 	}
--- a/daemon/src/main/java/org/skylarkstack/daemon/DaemonModule.java
+++ b/daemon/src/main/java/org/skylarkstack/daemon/RequestModule.java
@@ -1,6 +1,5 @@
 package org.skylarkstack.daemon;
 
-import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -12,17 +11,9 @@
 import org.skylarkstack.configuration.ConfigurationHolder;
 import org.skylarkstack.configuration.EngineNode;
 import org.skylarkstack.configuration.ObjectKind;
-import org.skylarkstack.configuration.TicketLog;
 import org.skylarkstack.engine.BackendClients;
 import org.skylarkstack.engine.EngineClient;
 import org.skylarkstack.engine.HttpEngineClient;
-import org.skylarkstack.http.Authenticator;
-import org.skylarkstack.http.CallerApi;
-import org.skylarkstack.http.CallerWatch;
-import org.skylarkstack.http.ClaimGate;
-import org.skylarkstack.http.OperatorApi;
-import org.skylarkstack.http.ServiceApi;
-import org.skylarkstack.limit.LocalTeamLimiter;
 import org.skylarkstack.limit.TeamLimiter;
 import org.skylarkstack.membership.Membership;
 import org.skylarkstack.misc.TimeSource;
@@ -31,7 +22,6 @@
 import org.skylarkstack.request.ClaimRepairs;
 import org.skylarkstack.request.CrashReporter;
 import org.skylarkstack.request.CrashSuspects;
-import org.skylarkstack.request.DeadIncarnations;
 import org.skylarkstack.request.EngineCanceller;
 import org.skylarkstack.request.EngineQuarantine;
 import org.skylarkstack.request.ExpiringRows;
@@ -44,22 +34,18 @@
 import org.skylarkstack.request.RequestPipeline;
 import org.skylarkstack.request.RetryBudget;
 import org.skylarkstack.request.RetryPolicy;
-import org.skylarkstack.request.ServiceProxy;
-import org.skylarkstack.request.ServiceTargets;
 import org.skylarkstack.request.ShutdownSequence;
 import org.skylarkstack.request.SuspectRuns;
-import org.skylarkstack.schedule.LocalPlacer;
 import org.skylarkstack.schedule.Placer;
 import org.skylarkstack.settings.BackendTimeouts;
 import org.skylarkstack.settings.DaemonSettings;
-import org.skylarkstack.store.DynamoTableStore;
 import org.skylarkstack.store.TableStore;
 
 /**
- * Provides the parts of a daemon.
+ * Provides the parts of the request path.
  */
 @Module
-final class DaemonModule {
+final class RequestModule {
 
 	/** How long a request stays a crash suspect. */
 	private static final Duration SUSPECT_TERM = Duration.ofMinutes(10);
@@ -67,55 +53,7 @@
 	/** Bound for telling the remaining callers at the end of a shutdown. */
 	private static final Duration END_BOUND = Duration.ofSeconds(2);
 
-	private DaemonModule() {
-	}
-
-	@Provides
-	@Singleton
-	static ConfigurationHolder configuration() {
-		return new ConfigurationHolder();
-	}
-
-	@Provides
-	@Singleton
-	static TableStore tableStore(DaemonSettings settings) {
-		return new DynamoTableStore(settings.platform());
-	}
-
-	@Provides
-	@Singleton
-	static TicketLog tickets(TableStore store, ConfigurationHolder configuration) {
-		return new TicketLog(store, configuration);
-	}
-
-	@Provides
-	@Singleton
-	static TeamLimiter limiter(DaemonSettings settings) {
-		return new LocalTeamLimiter(1.0 / settings.slotCount());
-	}
-
-	@Provides
-	@Singleton
-	static Placer placer(ConfigurationHolder configuration) {
-		return new LocalPlacer(configuration);
-	}
-
-	@Provides
-	@Singleton
-	static Membership membership(DaemonSettings settings) {
-		return SingleMembership.of(settings.vmId(), settings.dataCentre(), new SecureRandom().nextLong());
-	}
-
-	@Provides
-	@Singleton
-	static PeerTransport transport() {
-		return new DroppingTransport();
-	}
-
-	@Provides
-	@Singleton
-	static DeadIncarnations deadIncarnations() {
-		return (vmId, incarnation) -> false;
+	private RequestModule() {
 	}
 
 	@Provides
@@ -144,22 +82,22 @@
 
 	@Provides
 	@Singleton
-	static EngineCanceller canceller(EngineClient engines, ConfigurationHolder configuration) {
+	static EngineCanceller canceller(EngineClient engines, ConfigurationHolder configuration, TimeSource time) {
 		return new EngineCanceller(engines,
-				(id) -> configuration.current().find(EngineNode.class, ObjectKind.ENGINE, id), TimeSource.system());
+				(id) -> configuration.current().find(EngineNode.class, ObjectKind.ENGINE, id), time);
 	}
 
 	@Provides
 	@Singleton
 	static HeldMemorySweeper sweeper(EngineClient engines, ConfigurationHolder configuration, Membership membership,
-			DeadIncarnations dead, EngineCanceller canceller) {
-		return new HeldMemorySweeper(engines, configuration, membership, dead, canceller);
+			EngineCanceller canceller) {
+		return new HeldMemorySweeper(engines, configuration, membership, membership::isDead, canceller);
 	}
 
 	@Provides
 	@Singleton
-	static RetryBudget retryBudget() {
-		return new RetryBudget(TimeSource.system().nanos());
+	static RetryBudget retryBudget(TimeSource time) {
+		return new RetryBudget(time.nanos());
 	}
 
 	@Provides
@@ -171,19 +109,25 @@
 	@Provides
 	@Singleton
 	static CrashReporter crashReporter(CrashSuspects suspects, OpenRequests openRequests, Membership membership,
-			PeerTransport transport) {
-		return new CrashReporter(suspects, openRequests, membership, transport, TimeSource.system());
+			PeerTransport transport, TimeSource time) {
+		return new CrashReporter(suspects, openRequests, membership, transport, time);
+	}
+
+	@Provides
+	@Singleton
+	static RequestCounters requestCounters() {
+		return new RequestCounters();
 	}
 
 	@Provides
 	@Singleton
 	static RequestParts requestParts(DaemonSettings settings, RequestIds ids, ConfigurationHolder configuration,
 			TeamLimiter limiter, Placer placer, EngineClient engines, EngineCanceller canceller,
-			RetryBudget retryBudget, CrashSuspects suspects, CrashReporter crashReporter, TableStore store) {
+			RetryBudget retryBudget, CrashSuspects suspects, CrashReporter crashReporter, TableStore store,
+			RequestCounters counters, TimeSource time) {
 		return new RequestParts(settings.vmId(), ids, configuration, limiter, placer, engines, canceller,
 				new EngineQuarantine(), retryBudget, new RetryPolicy(retryBudget), suspects,
-				new SuspectRuns(store, SUSPECT_TERM.toMillis()), crashReporter, new RequestCounters(),
-				TimeSource.system());
+				new SuspectRuns(store, SUSPECT_TERM.toMillis()), crashReporter, counters, time);
 	}
 
 	@Provides
@@ -200,34 +144,16 @@
 
 	@Provides
 	@Singleton
-	static ExpiringRows expiringRows(TableStore store) {
-		List<String> partitions = new ArrayList<>(List.of(SuspectRuns.PARTITION));
-		IntStream.range(0, Claim.PARTITIONS).mapToObj(Claim::partition).forEach(partitions::add);
-		return new ExpiringRows(store, partitions);
-	}
-
-	@Provides
-	@Singleton
-	static ClaimGate claimGate(TableStore store, ClaimRepairs repairs, RequestIds ids) {
-		return new ClaimGate(new IdempotencyClaims(store, repairs, TimeSource.system()), ids);
-	}
-
-	@Provides
-	@Singleton
-	static ServiceApi serviceApi(DaemonSettings settings, ConfigurationHolder configuration,
-			Authenticator authenticator, OpenRequests openRequests, CallerWatch watch, ClaimGate claims,
-			BackendClients clients, RetryBudget retryBudget) {
-		ServiceProxy proxy = new ServiceProxy(configuration, clients, new ServiceTargets(settings.dataCentre()),
-				retryBudget, new RetryPolicy(retryBudget), settings.backendTimeouts().serviceIdleMillis(),
-				TimeSource.system());
-		return new ServiceApi(configuration, authenticator, openRequests, watch, claims, proxy, settings.callerLimits(),
-				TimeSource.system());
+	static IdempotencyClaims claims(TableStore store, ClaimRepairs repairs, TimeSource time) {
+		return new IdempotencyClaims(store, repairs, time);
 	}
 
 	@Provides
 	@Singleton
-	static CallerWatch callerWatch() {
-		return new CallerWatch();
+	static ExpiringRows expiringRows(TableStore store) {
+		List<String> partitions = new ArrayList<>(List.of(SuspectRuns.PARTITION));
+		IntStream.range(0, Claim.PARTITIONS).mapToObj(Claim::partition).forEach(partitions::add);
+		return new ExpiringRows(store, partitions);
 	}
 
 	@Provides
@@ -238,26 +164,4 @@
 				Duration.ofMillis(timeouts.drainMillis()).toNanos(), END_BOUND.toNanos());
 	}
 
-	@Provides
-	@Singleton
-	static Authenticator authenticator(ConfigurationHolder configuration) {
-		return new Authenticator(configuration);
-	}
-
-	@Provides
-	@Singleton
-	static CallerApi callerApi(DaemonSettings settings, ConfigurationHolder configuration, Authenticator authenticator,
-			RequestPipeline pipeline, ServiceApi services, OpenRequests openRequests, CallerWatch watch,
-			ClaimGate claims, ShutdownSequence shutdown) {
-		return new CallerApi(configuration, authenticator, pipeline, services, openRequests, watch, claims,
-				settings.callerLimits(), TimeSource.system(), () -> shutdown.phase().ready());
-	}
-
-	@Provides
-	@Singleton
-	static OperatorApi operatorApi(DaemonSettings settings, Authenticator authenticator, TicketLog tickets,
-			ConfigurationHolder configuration) {
-		return new OperatorApi(authenticator, tickets, configuration, settings.operatorKeyHash());
-	}
-
 }
--- a/runtime/src/main/java/org/skylarkstack/limit/LendingTeamLimiter.java
+++ b/runtime/src/main/java/org/skylarkstack/limit/LendingTeamLimiter.java
@@ -284,6 +284,13 @@
 		}
 	}
 
+	/** Stops without returning the slot, as if the process had died. */
+	public void abandon() {
+		this.released = true;
+		this.ticker.shutdownNow();
+		this.slotKeeper.shutdownNow();
+	}
+
 	/** Stops using and lending the slice and returns the slot to the store. */
 	@Override
 	public void close() {
--- a/runtime/src/main/java/org/skylarkstack/request/EngineCanceller.java
+++ b/runtime/src/main/java/org/skylarkstack/request/EngineCanceller.java
@@ -143,6 +143,11 @@
 		return this.pending.abandoned();
 	}
 
+	/** Stops without another cancel, as if the process had died. */
+	public void abandon() {
+		this.workers.shutdownNow();
+	}
+
 	/** Waits a short time for the cancels that are running. */
 	@Override
 	public void close() {
--- a/tool/src/main/java/org/skylarkstack/tool/Main.java
+++ b/tool/src/main/java/org/skylarkstack/tool/Main.java
@@ -14,10 +14,6 @@
 	private static final Map<String, Command> COMMANDS = new TreeMap<>(Map.of("bench", new BenchCommand(), "check",
 			new CheckCommand(), "daemon", new DaemonCommand(), "demo", new DemoCommand(), "report", new ReportCommand(),
 			"standin", new StandinCommand(), "ticket", new TicketCommand()));
-=======
-			Map.of("bench", new BenchCommand(), "check", new CheckCommand(), "daemon", new DaemonCommand(), "demo",
-					new DemoCommand(), "report", new ReportCommand(), "standin", new StandinCommand()));
->>>>>>> bench
 
 	private Main() {
 	}
