Adapt tests to the merged interfaces

Cause: tests were written against interfaces that the merges changed. Change: fakes gain isDead; a placer for tests replaces the removed local one.

--- a/runtime/src/test/java/org/skylarkstack/http/CallerApiTests.java
+++ b/runtime/src/test/java/org/skylarkstack/http/CallerApiTests.java
@@ -20,6 +20,7 @@
 import org.skylarkstack.configuration.Route;
 import org.skylarkstack.configuration.Ticket;
 import org.skylarkstack.configuration.TicketChange;
+import org.skylarkstack.configuration.KeyFreshness;
 import org.skylarkstack.engine.BackendClients;
 import org.skylarkstack.kernel.Cancellation;
 import org.skylarkstack.kernel.Verdict;
@@ -53,8 +54,9 @@
 	@BeforeEach
 	void start() throws IOException {
 		this.service.start();
-		Authenticator authenticator = new Authenticator(this.fixture.configuration());
 		TimeSource time = TimeSource.system();
+		Authenticator authenticator = new Authenticator(this.fixture.configuration(),
+				new KeyFreshness(this.fixture.configuration()), time);
 		ClaimGate claims = new ClaimGate(this.fixture.claims(), this.fixture.ids());
 		RetryBudget budget = new RetryBudget(time.nanos());
 		ServiceProxy proxy = new ServiceProxy(this.fixture.configuration(), new BackendClients(500),
--- a/runtime/src/test/java/org/skylarkstack/request/RequestFixture.java
+++ b/runtime/src/test/java/org/skylarkstack/request/RequestFixture.java
@@ -26,7 +26,6 @@
 import org.skylarkstack.misc.Hashes;
 import org.skylarkstack.peer.FakePeerNetwork;
 import org.skylarkstack.peer.PeerTransport;
-import org.skylarkstack.schedule.LocalPlacer;
 import org.skylarkstack.schedule.Placement;
 import org.skylarkstack.schedule.PlacementRelease;
 import org.skylarkstack.schedule.PlacementRequest;
@@ -73,7 +72,7 @@
 	Runnable whilePlacing = () -> {
 	};
 
-	private final LocalPlacer placer = new LocalPlacer(this.configuration);
+	private final InFlightPlacer placer = new InFlightPlacer(this.configuration);
 
 	private final Set<Placement> openPlacements = new HashSet<>();
 
@@ -117,6 +116,11 @@
 				return 1;
 			}
 
+			@Override
+			public boolean isDead(String vmId, long incarnation) {
+				return false;
+			}
+
 		};
 	}
 
--- a/runtime/src/test/java/org/skylarkstack/schedule/PlacementFleet.java
+++ b/runtime/src/test/java/org/skylarkstack/schedule/PlacementFleet.java
@@ -108,6 +108,11 @@
 			return PlacementFleet.this.nowNanos;
 		}
 
+		@Override
+		public boolean isDead(String member, long memberIncarnation) {
+			return false;
+		}
+
 		private void step() {
 			this.client.step(now());
 			this.owner.step(now());
