Never resume past an event that could not be used

Cause: the position counts an event as delivered before it is passed on, so a retry after an event that the assembler refused would have skipped it. An engine that was removed from the configuration while it failed turned the verdict of a running request into "not run". Change: a failed delivery ends the request; a removed engine is not probed. Conclusion: both paths have a test.

--- a/runtime/src/main/java/org/skylarkstack/request/CompletionRun.java
+++ b/runtime/src/main/java/org/skylarkstack/request/CompletionRun.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 
 import org.jspecify.annotations.Nullable;
@@ -65,6 +66,10 @@
 
 	private String suspectAttempt = "";
 
+	// The caller lacks an event that the cursor counts as delivered; a resume would skip
+	// it.
+	private boolean sinkFailed;
+
 	private int attempts;
 
 	private long prefilledTokens;
@@ -116,7 +121,7 @@
 				this.verdict = this.verdict.stronger(ex.verdict());
 				reportCrash(ex);
 				this.cancellation.check(this.verdict);
-				if (!this.parts.retryPolicy()
+				if (this.sinkFailed || !this.parts.retryPolicy()
 					.permits(ex, this.verdict, this.attempts, this.request.idempotent(), this.cursor.delivered(),
 							this.parts.time().nanos())) {
 					throw ex.after(this.verdict);
@@ -273,7 +278,7 @@
 			this.prefill = null;
 			this.cancellation.check(Verdict.MAY_HAVE_RUN);
 			switch (this.cursor.accept(event)) {
-				case DELIVER -> this.sink.event(event.data());
+				case DELIVER -> deliver(event);
 				case REPEATED -> this.parts.counters().repeatedEvent();
 				case GAP -> throw RouterException.of(ErrorType.BACKEND_FAILED, Verdict.MAY_HAVE_RUN, null, engineId,
 						"token %d follows token %d".formatted(event.tokenOffset(), this.cursor.delivered()));
@@ -281,6 +286,12 @@
 		}
 	}
 
+	private void deliver(DecodeEvent event) {
+		this.sinkFailed = true;
+		this.sink.event(event.data());
+		this.sinkFailed = false;
+	}
+
 	private void failed(String engineId, RouterException failure) {
 		if (this.cancellation.reason() == null && failure.type() != ErrorType.PREFILL_GONE
 				&& failure.type() != ErrorType.BAD_REQUEST) {
@@ -308,7 +319,7 @@
 		boolean broken = failure.type() == ErrorType.BACKEND_FAILED && failure.verdict() == Verdict.MAY_HAVE_RUN
 				&& failure.getCause() instanceof java.io.IOException;
 		if (!broken || this.cancellation.reason() != null || this.failedEngine.isEmpty()
-				|| isAlive(engine(this.failedEngine))) {
+				|| isAlive(this.failedEngine)) {
 			return;
 		}
 		this.parts.quarantine().failed(this.failedEngine, this.parts.time().nanos());
@@ -320,9 +331,13 @@
 
 	// A broken connection alone is no crash: a server may close an idle connection while
 	// a request is on its way.
-	private boolean isAlive(EngineNode engine) {
+	private boolean isAlive(String engineId) {
+		Optional<EngineNode> engine = find(engineId);
+		if (engine.isEmpty()) {
+			return true;
+		}
 		try {
-			this.parts.engines().load(engine);
+			this.parts.engines().load(engine.get());
 			return true;
 		}
 		catch (RouterException ex) {
@@ -331,10 +346,11 @@
 	}
 
 	private EngineNode engine(String id) {
-		return this.parts.configuration()
-			.current()
-			.find(EngineNode.class, ObjectKind.ENGINE, id)
-			.orElseThrow(() -> new RouterException(ErrorType.NO_ENGINE, this.request.model()));
+		return find(id).orElseThrow(() -> new RouterException(ErrorType.NO_ENGINE, this.request.model()));
+	}
+
+	private Optional<EngineNode> find(String engineId) {
+		return this.parts.configuration().current().find(EngineNode.class, ObjectKind.ENGINE, engineId);
 	}
 
 }
--- a/runtime/src/test/java/org/skylarkstack/request/FakeEngineClient.java
+++ b/runtime/src/test/java/org/skylarkstack/request/FakeEngineClient.java
@@ -122,11 +122,13 @@
 	@Override
 	public List<HeldRequest> held(EngineNode engine) {
 		checkReachable(engine);
-		return this.holds.stream()
-			.filter((hold) -> hold.startsWith(engine.id() + " "))
-			.map((hold) -> new HeldRequest(hold.substring(engine.id().length() + 1), "vm-0.1", "decode", 1,
-					this.idleMillis))
-			.toList();
+		synchronized (this.holds) {
+			return this.holds.stream()
+				.filter((hold) -> hold.startsWith(engine.id() + " "))
+				.map((hold) -> new HeldRequest(hold.substring(engine.id().length() + 1), "vm-0.1", "decode", 1,
+						this.idleMillis))
+				.toList();
+		}
 	}
 
 	@Override
--- a/runtime/src/test/java/org/skylarkstack/request/RequestPipelineTests.java
+++ b/runtime/src/test/java/org/skylarkstack/request/RequestPipelineTests.java
@@ -5,6 +5,9 @@
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.skylarkstack.configuration.ObjectKind;
+import org.skylarkstack.configuration.Ticket;
+import org.skylarkstack.configuration.TicketChange;
 import org.skylarkstack.kernel.CancelReason;
 import org.skylarkstack.kernel.Cancellation;
 import org.skylarkstack.kernel.ErrorType;
@@ -143,6 +146,30 @@
 		assertThat(this.cancellation.reason()).isEqualTo(CancelReason.CALLER_GONE);
 	}
 
+	// Guards against a resume that skips an event which could not be used.
+	@Test
+	void eventThatCannotBeUsedEndsTheRequest() {
+		Thrown.by(RouterException.class, () -> this.fixture.run(true, this.cancellation, (data) -> {
+			throw new RouterException(ErrorType.BACKEND_FAILED, "d1", "an event is not valid JSON");
+		}));
+		assertThat(this.engines.work().stream().filter((call) -> call.startsWith("decode"))).hasSize(1);
+	}
+
+	// Guards against "not run" for a request whose engine was removed after it failed.
+	@Test
+	void engineThatIsRemovedWhileItFailsDoesNotChangeTheVerdict() {
+		this.engines.decodeFaults.add(new DecodeFault(1, () -> {
+			this.fixture.configuration.update((current) -> current.apply(new Ticket(2, "test",
+					List.of("p1", "p2", "p3", "d1", "d2", "d3")
+						.stream()
+						.map((id) -> TicketChange.delete(ObjectKind.ENGINE, id))
+						.toList())));
+			this.engines.holds.clear();
+			throw FakeEngineClient.broken("d1");
+		}));
+		assertThat(failure().verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+	}
+
 	// Guards against a stream that outlives its key.
 	@Test
 	void withdrawnKeyEndsTheStream() {
