Add engine order leases with fencing numbers

Cause: nothing kept two VMs from ordering one engine. Change: EngineLease holds a row whose token changes with each write; it reads the row back after a lost reply, stops one margin before its end by the holder's own clock, and lets a successor order an engine that ignores fencing only after the longest order lifetime.

--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/lease/EngineLease.java
@@ -0,0 +1,237 @@
+package org.skylarkstack.lease;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.jspecify.annotations.Nullable;
+import org.skylarkstack.store.Row;
+import org.skylarkstack.store.RowCondition;
+import org.skylarkstack.store.RowWrite;
+import org.skylarkstack.store.StoreException;
+import org.skylarkstack.store.TableStore;
+
+/**
+ * Lease of the right to order one engine.
+ *
+ * <p>
+ * Invariants:
+ * <ul>
+ * <li>At any time at most one holder is given permits, while clocks drift by less than
+ * the margin within a lease.</li>
+ * <li>The fencing number grows with each change of holder.</li>
+ * <li>An order to an engine that ignores fencing is permitted only after all orders of
+ * former holders have expired.</li>
+ * </ul>
+ *
+ * <p>
+ * The row carries the holder, the fencing number and a token that each write changes. A
+ * write is conditional on the token seen last.
+ *
+ * <p>
+ * Cases:
+ * <ul>
+ * <li>Holder: renews after a third of the lease. The lease counts from before the write
+ * was sent. It gives permits until one margin before the end, checked at each use, so a
+ * holder that was paused finds its lease expired.</li>
+ * <li>Lost reply: the row is read back. If it carries a token of this process, the lease
+ * counts from before that token's write was sent. A write that takes effect late only
+ * extends a lease that this process counts from its own earlier clock reading.</li>
+ * <li>Return: the process forgets its tokens first. The write may take effect late, so
+ * the lease is not resumed from its row; it is taken again like that of another VM.</li>
+ * <li>Successor: takes a row that is absent or returned, or whose token it has watched
+ * unchanged for a whole lease on its own clock.</li>
+ * </ul>
+ *
+ * Not thread-safe; the calls that reach the store block.
+ */
+public final class EngineLease {
+
+	/** Term of a lease. */
+	public static final long LEASE_NANOS = 15_000_000_000L;
+
+	/** Time before the end of its lease at which a holder stops. */
+	public static final long MARGIN_NANOS = 3_000_000_000L;
+
+	/** Longest time for which an order is valid. */
+	public static final long ORDER_LIFETIME_NANOS = 10_000_000_000L;
+
+	private static final long RENEW_NANOS = LEASE_NANOS / 3;
+
+	private static final String PARTITION = "engine-order-lease";
+
+	private static final String HOLDER = "holder";
+
+	private static final String FENCE = "fence";
+
+	private static final String TOKEN = "token";
+
+	private final TableStore store;
+
+	private final String engineId;
+
+	private final String holder;
+
+	private final boolean checksFencing;
+
+	/** When each write of this process was sent, by its token. */
+	private final Map<String, Long> sent = new HashMap<>();
+
+	private long writes;
+
+	private @Nullable Row seen;
+
+	private long seenSinceNanos;
+
+	private boolean held;
+
+	private long fence;
+
+	private long renewedNanos;
+
+	private long ordersFromNanos;
+
+	/**
+	 * Creates a lease that is not held.
+	 * @param store keeps the row
+	 * @param engineId the engine
+	 * @param holder this VM and incarnation; unique for each start of a daemon
+	 * @param checksFencing whether the engine refuses orders with an old fencing number
+	 */
+	public EngineLease(TableStore store, String engineId, String holder, boolean checksFencing) {
+		this.store = store;
+		this.engineId = engineId;
+		this.holder = holder;
+		this.checksFencing = checksFencing;
+	}
+
+	/**
+	 * Takes, renews or returns the lease as needed. Store failures leave the lease as it
+	 * is; the next step reads the row back.
+	 * @param wanted whether this VM should hold the lease
+	 * @param nowNanos the present time, read before the call
+	 */
+	public void step(boolean wanted, long nowNanos) {
+		if (wanted && this.held && nowNanos - this.renewedNanos < RENEW_NANOS) {
+			return;
+		}
+		if (!wanted && !this.held) {
+			return;
+		}
+		try {
+			read(nowNanos);
+			if (!wanted) {
+				giveBack(nowNanos);
+			}
+			else if (this.held) {
+				write(this.holder, this.fence, nowNanos);
+			}
+			else if (isFree(nowNanos)) {
+				write(this.holder, seenFence() + 1, nowNanos);
+			}
+		}
+		catch (StoreException ex) {
+			expire(nowNanos);
+		}
+	}
+
+	private void read(long nowNanos) {
+		Row row = this.store.get(PARTITION, this.engineId).orElse(null);
+		if (row == null || this.seen == null || !token(row).equals(token(this.seen))) {
+			this.seenSinceNanos = nowNanos;
+		}
+		this.seen = row;
+		if (row != null && this.sent.containsKey(token(row)) && this.holder.equals(row.attributes().get(HOLDER))) {
+			confirm(row, nowNanos);
+		}
+		else {
+			this.held = false;
+		}
+	}
+
+	private void confirm(Row row, long nowNanos) {
+		long sentNanos = this.sent.getOrDefault(token(row), 0L);
+		long rowFence = fence(row);
+		if (!this.held || rowFence != this.fence) {
+			this.ordersFromNanos = nowNanos + (this.checksFencing ? 0 : ORDER_LIFETIME_NANOS);
+		}
+		this.held = true;
+		this.fence = rowFence;
+		this.renewedNanos = sentNanos;
+		expire(nowNanos);
+	}
+
+	/**
+	 * Ends a lease that ran out. It is taken again with a higher fencing number.
+	 * @param nowNanos the present time
+	 */
+	private void expire(long nowNanos) {
+		if (this.held && nowNanos - this.renewedNanos >= LEASE_NANOS - MARGIN_NANOS) {
+			this.held = false;
+		}
+	}
+
+	private boolean isFree(long nowNanos) {
+		Row row = this.seen;
+		return row == null || row.attributes().getOrDefault(HOLDER, "").isEmpty()
+				|| nowNanos - this.seenSinceNanos >= LEASE_NANOS;
+	}
+
+	private long seenFence() {
+		return (this.seen != null) ? fence(this.seen) : 0;
+	}
+
+	private void giveBack(long nowNanos) {
+		if (this.held) {
+			long givenUp = this.fence;
+			this.held = false;
+			this.sent.clear();
+			write("", givenUp, nowNanos);
+		}
+	}
+
+	private void write(String newHolder, long newFence, long nowNanos) {
+		String token = this.holder + '#' + ++this.writes;
+		Row row = new Row(PARTITION, this.engineId,
+				Map.of(HOLDER, newHolder, FENCE, Long.toString(newFence), TOKEN, token));
+		RowCondition condition = (this.seen != null) ? RowCondition.attributeEquals(TOKEN, token(this.seen))
+				: RowCondition.ABSENT;
+		this.sent.values().removeIf((sentNanos) -> nowNanos - sentNanos >= LEASE_NANOS);
+		this.sent.put(token, nowNanos);
+		boolean applied = this.store.write(List.of(RowWrite.put(row, condition)));
+		if (applied) {
+			this.seen = row;
+			this.seenSinceNanos = nowNanos;
+			if (!newHolder.isEmpty()) {
+				confirm(row, nowNanos);
+			}
+		}
+		else {
+			this.held = false;
+		}
+	}
+
+	private static String token(Row row) {
+		return row.attributes().getOrDefault(TOKEN, "");
+	}
+
+	private static long fence(Row row) {
+		return Long.parseLong(row.attributes().getOrDefault(FENCE, "0"));
+	}
+
+	/**
+	 * Permits one order. It is asked right before each order is sent.
+	 * @param nowNanos the present time
+	 * @return the permit, or empty if this VM does not hold the lease or a former
+	 * holder's orders may still be valid
+	 */
+	public Optional<OrderPermit> permit(long nowNanos) {
+		expire(nowNanos);
+		if (!this.held || nowNanos < this.ordersFromNanos) {
+			return Optional.empty();
+		}
+		return Optional.of(new OrderPermit(this.fence, nowNanos + ORDER_LIFETIME_NANOS));
+	}
+
+}
--- /dev/null
+++ b/runtime/src/test/java/org/skylarkstack/lease/EngineLeaseTests.java
@@ -0,0 +1,110 @@
+package org.skylarkstack.lease;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.random.RandomGenerator;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+/**
+ * Tests of {@link EngineLease}.
+ */
+class EngineLeaseTests {
+
+	private static final long SECOND = 1_000_000_000L;
+
+	/** Guards against a holder that orders after a pause longer than its lease. */
+	@Test
+	void pausedHolderStops() {
+		EngineLease lease = new EngineLease(new FaultyTableStore(new Random(1), 0), "e", "vm1.1", true);
+		lease.step(true, 0);
+		assertThat(lease.permit(11 * SECOND)).isPresent();
+		assertThat(lease.permit(12 * SECOND)).isEmpty();
+	}
+
+	/**
+	 * Guards against a successor that orders while a former order is still valid on an
+	 * engine that ignores fencing.
+	 */
+	@Test
+	void successorWaitsForLeaseAndOrders() {
+		FaultyTableStore store = new FaultyTableStore(new Random(1), 0);
+		EngineLease first = new EngineLease(store, "e", "vm1.1", false);
+		EngineLease second = new EngineLease(store, "e", "vm2.1", false);
+		first.step(true, 0);
+		for (long now = 0; now < 15; now++) {
+			second.step(true, now * SECOND);
+			assertThat(second.permit(now * SECOND)).isEmpty();
+		}
+		second.step(true, 15 * SECOND);
+		assertThat(second.permit(24 * SECOND)).isEmpty();
+		second.step(true, 24 * SECOND);
+		assertThat(second.permit(25 * SECOND).map(OrderPermit::fence)).isEqualTo(Optional.of(2L));
+	}
+
+	/** Guards against a lease that a VM keeps after it should give it up. */
+	@Test
+	void returnedLeaseIsTakenAtOnce() {
+		FaultyTableStore store = new FaultyTableStore(new Random(1), 0);
+		EngineLease first = new EngineLease(store, "e", "vm1.1", true);
+		EngineLease second = new EngineLease(store, "e", "vm2.1", true);
+		first.step(true, 0);
+		first.step(false, SECOND);
+		assertThat(first.permit(SECOND)).isEmpty();
+		second.step(true, SECOND);
+		assertThat(second.permit(SECOND).map(OrderPermit::fence)).isEqualTo(Optional.of(2L));
+	}
+
+	/**
+	 * Guards against two holders at a time, falling fencing numbers and overlapping
+	 * orders under pauses, lost replies and late writes.
+	 */
+	@ParameterizedTest
+	@ValueSource(longs = { 1, 2, 3, 4, 5, 6, 7, 8 })
+	void oneHolderAtATime(long seed) {
+		RandomGenerator random = new Random(seed);
+		FaultyTableStore store = new FaultyTableStore(random, 25);
+		List<EngineLease> leases = new ArrayList<>();
+		for (int vm = 0; vm < 3; vm++) {
+			leases.add(new EngineLease(store, "e", "vm" + vm, false));
+		}
+		long[] pausedUntil = new long[3];
+		long lastFence = 0;
+		long lastExpiry = 0;
+		int permits = 0;
+		for (long now = 0; now < 4_000 * SECOND; now += SECOND / 2) {
+			int wanted = (int) (now / (90 * SECOND)) % 3;
+			int permitted = 0;
+			for (int vm = 0; vm < 3; vm++) {
+				if (now >= pausedUntil[vm]) {
+					leases.get(vm).step(vm == wanted || random.nextInt(20) == 0, now);
+				}
+				if (random.nextInt(100) == 0) {
+					pausedUntil[vm] = now + random.nextLong(40 * SECOND);
+				}
+				Optional<OrderPermit> permit = leases.get(vm).permit(now);
+				if (permit.isPresent()) {
+					permits++;
+					permitted++;
+					long fence = permit.get().fence();
+					assertWithMessage("seed %s: fence", seed).that(fence).isAtLeast(lastFence);
+					if (fence > lastFence) {
+						assertWithMessage("seed %s: orders overlap", seed).that(now).isAtLeast(lastExpiry);
+					}
+					lastFence = fence;
+					lastExpiry = permit.get().expiresNanos();
+				}
+			}
+			assertWithMessage("seed %s: holders", seed).that(permitted).isAtMost(1);
+		}
+		assertWithMessage("seed %s: permits", seed).that(permits).isGreaterThan(1_000);
+	}
+
+}
--- /dev/null
+++ b/runtime/src/test/java/org/skylarkstack/lease/FaultyTableStore.java
@@ -0,0 +1,98 @@
+package org.skylarkstack.lease;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+import org.skylarkstack.store.Row;
+import org.skylarkstack.store.RowCondition;
+import org.skylarkstack.store.RowWrite;
+import org.skylarkstack.store.StoreException;
+import org.skylarkstack.store.TableStore;
+import org.skylarkstack.store.WriteEffect;
+
+/**
+ * Table in memory whose replies get lost and whose writes may take effect late.
+ */
+final class FaultyTableStore implements TableStore {
+
+	private final Map<String, Row> rows = new HashMap<>();
+
+	private final List<RowWrite> late = new ArrayList<>();
+
+	private final RandomGenerator random;
+
+	private final int faultPercent;
+
+	FaultyTableStore(RandomGenerator random, int faultPercent) {
+		this.random = random;
+		this.faultPercent = faultPercent;
+	}
+
+	private void fail(WriteEffect effect) {
+		throw new StoreException(effect, "the reply was lost", new IllegalStateException());
+	}
+
+	private boolean faulty() {
+		return this.random.nextInt(100) < this.faultPercent;
+	}
+
+	private void applyLate() {
+		for (Iterator<RowWrite> writes = this.late.iterator(); writes.hasNext();) {
+			RowWrite write = writes.next();
+			if (this.random.nextBoolean()) {
+				writes.remove();
+				apply(write);
+			}
+		}
+	}
+
+	private boolean apply(RowWrite write) {
+		Row row = this.rows.get(write.row().sort());
+		RowCondition condition = write.condition();
+		if (condition != null && condition.attribute() == null && row != null) {
+			return false;
+		}
+		if (condition != null && condition.attribute() != null && (row == null
+				|| !Objects.equals(row.attributes().get(condition.attribute()), condition.expected()))) {
+			return false;
+		}
+		this.rows.put(write.row().sort(), write.row());
+		return true;
+	}
+
+	@Override
+	public Optional<Row> get(String partition, String sort) {
+		applyLate();
+		if (faulty()) {
+			fail(WriteEffect.NOT_APPLIED);
+		}
+		return Optional.ofNullable(this.rows.get(sort));
+	}
+
+	@Override
+	public List<Row> query(String partition, String afterSort, int limit) {
+		throw new UnsupportedOperationException("the lease reads single rows");
+	}
+
+	@Override
+	public boolean write(List<RowWrite> writes) {
+		applyLate();
+		if (faulty()) {
+			if (this.random.nextBoolean()) {
+				this.late.add(writes.get(0));
+			}
+			else {
+				apply(writes.get(0));
+			}
+			fail(WriteEffect.UNKNOWN);
+		}
+		return apply(writes.get(0));
+	}
+
+}
