--- a/runtime/src/test/java/org/skylarkstack/request/InFlightPlacer.java
+++ b/runtime/src/test/java/org/skylarkstack/request/InFlightPlacer.java
@@ -28,7 +28,7 @@
 	 * Creates a placer.
 	 * @param configuration names the engines
 	 */
-	public InFlightPlacer(ConfigurationHolder configuration) {
+	InFlightPlacer(ConfigurationHolder configuration) {
 		this.configuration = configuration;
 	}
 
--- a/runtime/src/test/java/org/skylarkstack/request/RequestFixture.java
+++ b/runtime/src/test/java/org/skylarkstack/request/RequestFixture.java
@@ -125,8 +125,8 @@
 	}
 
 	void withdrawKey() {
-		this.configuration.update(
-				(current) -> current.apply(new Ticket(2, "test", List.of(TicketChange.delete(ObjectKind.KEY, "key")))));
+		this.configuration.update((current) -> current.apply(
+				new Ticket(current.appliedNumber() + 1, "test", List.of(TicketChange.delete(ObjectKind.KEY, "key")))));
 	}
 
 	static CompletionRequest request(boolean idempotent) {
--- a/standin/src/main/java/org/skylarkstack/standin/EngineStandIn.java
+++ b/standin/src/main/java/org/skylarkstack/standin/EngineStandIn.java
@@ -37,7 +37,7 @@
  * Decode requests fetch their prefill result from the engine that made it with
  * {@code POST /v1/kv/HANDLE/pull}, as soon as they have a slot and memory. Until the
  * first token nothing is answered, so a result that expired, was fetched before or is
- * unknown is answered with status 409.
+ * unknown is answered with status 410.
  */
 public final class EngineStandIn implements AutoCloseable {
 
@@ -396,7 +396,7 @@
 			OptionalLong sendNanos = pull(exchange.body().transfer());
 			if (sendNanos.isEmpty()) {
 				exchange.cancel();
-				context.status(409);
+				context.status(410);
 				return;
 			}
 			exchange.received(sendNanos.getAsLong());
--- a/standin/src/test/java/org/skylarkstack/standin/EngineStandInTests.java
+++ b/standin/src/test/java/org/skylarkstack/standin/EngineStandInTests.java
@@ -17,6 +17,7 @@
 import org.skylarkstack.engine.EngineCall;
 import org.skylarkstack.engine.HttpEngineClient;
 import org.skylarkstack.engine.PrefillResult;
+import org.skylarkstack.kernel.ErrorType;
 import org.skylarkstack.kernel.RouterException;
 import org.skylarkstack.kernel.Verdict;
 import org.skylarkstack.settings.BackendTimeouts;
@@ -126,7 +127,8 @@
 		PrefillResult result = prefill(call);
 		read(call, result, 0);
 		RouterException failure = failureOf(() -> read(call, result, 0));
-		assertThat(failure).hasMessageThat().contains("409");
+		assertThat(failure.type()).isEqualTo(ErrorType.PREFILL_GONE);
+		assertThat(failure.verdict()).isEqualTo(Verdict.NOT_RUN);
 		assertThat(this.decode.held()).isEmpty();
 	}
 
