Divide engines among models by measured benefit

Cause: role assignment had no rule. Change: EngineAssignment offers static, proportional and benefit-driven division as pure functions; the last is a multiple-choice knapsack with 5 % hysteresis.

--- a/bench/src/main/java/org/skylarkstack/bench/PolicyExperiment.java
+++ b/bench/src/main/java/org/skylarkstack/bench/PolicyExperiment.java
@@ -155,6 +155,11 @@
 	/**
 	 * Adds arrivals that alternate between 1.5 and 0.5 times the team's rate, in phases
 	 * of 2 s on average.
+	 * @param all receives the arrivals
+	 * @param workload the kind of pool
+	 * @param team the team
+	 * @param rate the mean rate in requests a second
+	 * @param random the source of randomness
 	 */
 	private static void teamArrivals(List<ModelledRequest> all, Workload workload, String team, double rate,
 			RandomGenerator random) {
--- /dev/null
+++ b/runtime/src/main/java/org/skylarkstack/lease/EngineAssignment.java
@@ -0,0 +1,65 @@
+package org.skylarkstack.lease;
+
+import java.util.List;
+
+/**
+ * Way to divide engines among the pools of several models. Implementations are pure.
+ */
+public enum EngineAssignment {
+
+	/** Keeps the present numbers. */
+	STATIC {
+		@Override
+		public List<Integer> assign(List<PoolProfile> pools, List<Integer> present) {
+			return List.copyOf(present);
+		}
+	},
+
+	/** Divides in proportion to the demand, by largest remainders. */
+	PROPORTIONAL {
+		@Override
+		public List<Integer> assign(List<PoolProfile> pools, List<Integer> present) {
+			return AssignmentSolver.proportional(pools, total(present));
+		}
+	},
+
+	/**
+	 * Maximises the total measured goodput, as a multiple-choice knapsack solved by
+	 * dynamic programming: each pool chooses one number of engines. Changes only when the
+	 * gain exceeds {@link #HYSTERESIS}. The idea follows Bez et al., "Arbitration
+	 * Policies for On-Demand User-Level I/O Forwarding on HPC Platforms", IPDPS 2021.
+	 */
+	BENEFIT {
+		@Override
+		public List<Integer> assign(List<PoolProfile> pools, List<Integer> present) {
+			List<Integer> best = AssignmentSolver.knapsack(pools, total(present));
+			double now = AssignmentSolver.goodput(pools, present);
+			return (AssignmentSolver.goodput(pools, best) > now * (1 + HYSTERESIS)) ? best : List.copyOf(present);
+		}
+	};
+
+	/**
+	 * Relative gain in goodput below which engines are not moved, because a move drains
+	 * them first.
+	 */
+	public static final double HYSTERESIS = 0.05;
+
+	/**
+	 * Way that reached the highest goodput in the role assignment experiment of the bench
+	 * module.
+	 */
+	public static final EngineAssignment DEFAULT = BENEFIT;
+
+	/**
+	 * Divides the engines.
+	 * @param pools the pools
+	 * @param present the present number of engines of each pool
+	 * @return the new number of engines of each pool, with the same sum
+	 */
+	public abstract List<Integer> assign(List<PoolProfile> pools, List<Integer> present);
+
+	private static int total(List<Integer> counts) {
+		return counts.stream().mapToInt(Integer::intValue).sum();
+	}
+
+}
