Count refunds on their way against the burst

Tokens that a VM had returned, but that had not arrived, were counted nowhere, so that the bucket filled up in the meantime and the returned tokens came on top. Grants that ended unspent were also lost. Change: a returned grant is taken only as far as the owner still counts it; a refund only as far as there was room for it since a time before it was sent (the owner's timestamp in its last heartbeat). Borrowers return unspent grants in part, and whole shortly before their end.

--- a/bench/src/main/java/org/skylarkstack/bench/SimulatedVm.java
+++ b/bench/src/main/java/org/skylarkstack/bench/SimulatedVm.java
@@ -224,7 +224,7 @@
 					MembershipTerms.DEFAULT);
 			Function<String, @Nullable Team> limits = SimulatedVm.this.teams::get;
 			this.lending = new TokenLending(SimulatedVm.this.vmId, incarnation, fleet.slotCount(), fleet.terms(),
-					fleet.random().nextLong(), limits, this::answers,
+					fleet.random().nextLong(), limits, new Reach(),
 					(to, message) -> fleet.send(SimulatedVm.this.vmId, to, message));
 			this.lending.onAnswer((requestId) -> fleet.events().after(0, () -> answered(this, requestId)));
 			this.slots = new SlotClaimer(fleet.store(), SimulatedVm.this.vmId, incarnation, fleet.slotCount(),
@@ -305,6 +305,30 @@
 			}
 		}
 
+		/**
+		 * Reads the peers' states.
+		 */
+		private final class Reach implements TokenLending.PeerReach {
+
+			@Override
+			public boolean answers(String peer, long nowNanos) {
+				return Daemon.this.answers(peer, nowNanos);
+			}
+
+			@Override
+			public long incarnation(String peer) {
+				PeerStatus status = Daemon.this.membership.peer(peer).orElse(null);
+				return (status != null) ? status.member().incarnation() : 0;
+			}
+
+			@Override
+			public long sentNanos(String peer) {
+				PeerStatus status = Daemon.this.membership.peer(peer).orElse(null);
+				return (status != null) ? status.peerSentNanos() : 0;
+			}
+
+		}
+
 	}
 
 }
--- a/runtime/src/main/java/org/skylarkstack/limit/GrantStock.java
+++ b/runtime/src/main/java/org/skylarkstack/limit/GrantStock.java
@@ -28,6 +28,12 @@
 	/** Demand below this many tokens a second is none. */
 	private static final double NO_DEMAND = 1;
 
+	/**
+	 * A grant whose end is this near is returned whole: tokens that end unspent are lost
+	 * to the team.
+	 */
+	private static final int LAST_PART = 5;
+
 	private static final Comparator<Held> BY_END = Comparator.comparingLong((held) -> held.endNanos);
 
 	private final List<Held> grants = new ArrayList<>();
@@ -139,8 +145,16 @@
 		long removed = 0;
 		for (Iterator<Held> all = this.grants.iterator(); all.hasNext();) {
 			Held held = all.next();
-			if (held.owner.equals(owner) && held.endNanos - nowNanos <= lateNanos && held.tokens <= surplus - removed) {
-				removed += held.tokens;
+			long leftNanos = held.endNanos - nowNanos;
+			if (!held.owner.equals(owner) || leftNanos > lateNanos) {
+				continue;
+			}
+			long surrendered = (leftNanos <= lateNanos / LAST_PART) ? held.tokens
+					: Math.max(0, Math.min(held.tokens, surplus - removed));
+			removed += surrendered;
+			held.tokens -= surrendered;
+			held.changed |= surrendered > 0;
+			if (held.tokens == 0) {
 				spent(held);
 				all.remove();
 			}
--- a/runtime/src/main/java/org/skylarkstack/limit/LendingTeamLimiter.java
+++ b/runtime/src/main/java/org/skylarkstack/limit/LendingTeamLimiter.java
@@ -88,7 +88,7 @@
 		this.configuration = configuration;
 		this.time = time;
 		this.lending = new TokenLending(vmId, membership.incarnation(), slotCount, terms, random.nextLong(), this::team,
-				this::answers, transport::send);
+				new Reach(), transport::send);
 		this.slots = new SlotClaimer(store, vmId, membership.incarnation(), slotCount, terms, random, time.nanos());
 		this.ticker = Executors.newSingleThreadScheduledExecutor((task) -> new Thread(task, "limit-tick-" + vmId));
 		this.slotKeeper = Executors.newSingleThreadScheduledExecutor((task) -> new Thread(task, "rate-slot-" + vmId));
@@ -314,4 +314,28 @@
 		}
 	}
 
+	/**
+	 * Reads the peers' states.
+	 */
+	private final class Reach implements TokenLending.PeerReach {
+
+		@Override
+		public boolean answers(String peer, long nowNanos) {
+			return LendingTeamLimiter.this.answers(peer, nowNanos);
+		}
+
+		@Override
+		public long incarnation(String peer) {
+			PeerStatus status = LendingTeamLimiter.this.peers.get(peer);
+			return (status != null) ? status.member().incarnation() : 0;
+		}
+
+		@Override
+		public long sentNanos(String peer) {
+			PeerStatus status = LendingTeamLimiter.this.peers.get(peer);
+			return (status != null) ? status.peerSentNanos() : 0;
+		}
+
+	}
+
 }
--- a/runtime/src/main/java/org/skylarkstack/limit/ShardPool.java
+++ b/runtime/src/main/java/org/skylarkstack/limit/ShardPool.java
@@ -188,6 +188,10 @@
 		ledger(team, nowNanos).putBack(tokens, share());
 	}
 
+	void putBackLate(Team team, double tokens, long sinceNanos, long nowNanos) {
+		ledger(team, nowNanos).putBackLate(tokens, sinceNanos, share());
+	}
+
 	/**
 	 * Grants tokens to a borrower. What is needed at once is granted whole or not at all,
 	 * because parts scattered over VMs would serve nobody; what is wanted in advance
@@ -214,9 +218,11 @@
 		return tokens;
 	}
 
-	void report(Team team, String borrower, Collection<GrantBalance> balances, long nowNanos) {
+	double report(Team team, String borrower, Collection<GrantBalance> balances, long nowNanos) {
 		TeamLedger ledger = ledger(team, nowNanos);
-		balances.forEach((balance) -> ledger.report(borrower, balance.grantId(), balance.remainingTokens()));
+		return balances.stream()
+			.mapToDouble((balance) -> ledger.report(borrower, balance.grantId(), balance.remainingTokens()))
+			.sum();
 	}
 
 	/**
--- a/runtime/src/main/java/org/skylarkstack/limit/TeamLedger.java
+++ b/runtime/src/main/java/org/skylarkstack/limit/TeamLedger.java
@@ -1,6 +1,8 @@
 package org.skylarkstack.limit;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
 
 /**
@@ -10,7 +12,9 @@
  * Invariant: level + outstanding grants &lt;= share x burst, where the share is the sum
  * of the pooled slices. After the share or the burst has shrunk, the outstanding grants
  * alone may exceed the bound until their terms end; the level is 0 for that time. Tokens
- * accrue at share x rate and only up to the bound. Not thread-safe.
+ * accrue at share x rate and only up to the bound. A refund that was on its way counts
+ * only as far as there was room for it all the time since it left; otherwise a full
+ * bucket and refunds on their way would together exceed the burst. Not thread-safe.
  */
 final class TeamLedger {
 
@@ -18,6 +22,13 @@
 
 	private static final double FULL = 1 - 1e-9;
 
+	/** Refunds that were on their way for longer are lost. */
+	private static final long LONGEST_REFUND_NANOS = 10_000_000_000L;
+
+	private final Deque<Room> leastRoom = new ArrayDeque<>();
+
+	private final long createdNanos;
+
 	private final List<OutstandingGrant> grants = new ArrayList<>();
 
 	private double tokensPerSecond;
@@ -35,6 +46,7 @@
 		this.burstTokens = burstTokens;
 		this.level = level;
 		this.updatedNanos = nowNanos;
+		this.createdNanos = nowNanos;
 	}
 
 	/**
@@ -68,7 +80,32 @@
 	 * @param share the new share
 	 */
 	void cap(double share) {
-		this.level = Math.max(0, Math.min(this.level, share * this.burstTokens - this.outstanding));
+		double bound = share * this.burstTokens - this.outstanding;
+		this.level = Math.max(0, Math.min(this.level, bound));
+		noteRoom(Math.max(0, bound - this.level));
+	}
+
+	// Keeps rooms that rise from the oldest to the newest: the first one since a time is
+	// the least since then.
+	private void noteRoom(double room) {
+		while (!this.leastRoom.isEmpty() && this.leastRoom.getLast().tokens() >= room) {
+			this.leastRoom.removeLast();
+		}
+		this.leastRoom.addLast(new Room(this.updatedNanos, room));
+		while (this.updatedNanos - this.leastRoom.getFirst().nanos() > LONGEST_REFUND_NANOS) {
+			this.leastRoom.removeFirst();
+		}
+	}
+
+	private double leastRoomSince(long sinceNanos) {
+		if (this.createdNanos - sinceNanos > 0 || this.updatedNanos - sinceNanos > LONGEST_REFUND_NANOS) {
+			return 0;
+		}
+		return this.leastRoom.stream()
+			.filter((room) -> room.nanos() - sinceNanos >= 0)
+			.mapToDouble(Room::tokens)
+			.findFirst()
+			.orElse(0);
 	}
 
 	// The level never rises by a change of limits.
@@ -90,6 +127,16 @@
 		this.level -= tokens;
 	}
 
+	/**
+	 * Takes a refund that was sent at a time or later.
+	 * @param tokens the tokens
+	 * @param sinceNanos a time on this clock before the refund was sent
+	 * @param share the present share
+	 */
+	void putBackLate(double tokens, long sinceNanos, double share) {
+		putBack(Math.min(tokens, leastRoomSince(sinceNanos)), share);
+	}
+
 	void putBack(double tokens, double share) {
 		this.level += tokens;
 		cap(share);
@@ -101,21 +148,24 @@
 		this.grants.add(grant);
 	}
 
-	// Reports may arrive late, so that only a smaller number counts.
-	void report(String borrower, long grantId, double remaining) {
+	// Reports may arrive late, so that only a smaller number counts. Returns the tokens
+	// that are no longer outstanding.
+	double report(String borrower, long grantId, double remaining) {
 		for (int index = 0; index < this.grants.size(); index++) {
 			OutstandingGrant grant = this.grants.get(index);
 			if (grant.id() == grantId && grant.borrower().equals(borrower) && remaining < grant.tokens()) {
-				this.outstanding -= grant.tokens() - Math.max(0, remaining);
+				double ended = grant.tokens() - Math.max(0, remaining);
+				this.outstanding -= ended;
 				if (remaining > 0) {
 					this.grants.set(index, grant.withTokens(remaining));
 				}
 				else {
 					this.grants.remove(index);
 				}
-				return;
+				return ended;
 			}
 		}
+		return 0;
 	}
 
 	boolean hasOutstanding() {
@@ -134,6 +184,10 @@
 		return this.burstTokens;
 	}
 
+	private record Room(long nanos, double tokens) {
+
+	}
+
 	/**
 	 * Grant that may still be spent by its borrower.
 	 */
--- a/runtime/src/main/java/org/skylarkstack/limit/TokenLending.java
+++ b/runtime/src/main/java/org/skylarkstack/limit/TokenLending.java
@@ -30,7 +30,8 @@
  * grants included ({@link ShardPool}, {@link TeamLedger});</li>
  * <li>a slice carries no tokens when it moves;</li>
  * <li>a grant is spent only while its owner counts it ({@link GrantStock});</li>
- * <li>a refund goes to one place, which takes it only up to its bound.</li>
+ * <li>a returned grant is taken only while its owner still counts it, and a refund only
+ * as far as its place has had room for it since before it was sent.</li>
  * </ul>
  * While VMs know different limits of a team, its bound is that of the highest rate and
  * the highest burst among them. Not thread-safe.
@@ -242,7 +243,8 @@
 			pool(shard).putBack(team, tokens, nowNanos);
 		}
 		else if (!owner.equals(this.self)) {
-			this.out.accept(owner, new TokenReturn(teamId, tokens, balances));
+			this.out.accept(owner, new TokenReturn(teamId, tokens, this.reach.incarnation(owner),
+					this.reach.sentNanos(owner), balances));
 		}
 	}
 
@@ -310,8 +312,13 @@
 		Team team = this.teams.apply(returned.teamId());
 		ShardPool pool = pool(ShardSet.shardOf(returned.teamId()));
 		if (team != null && returned.tokens() >= 0) {
-			pool.report(team, from, returned.balances(), nowNanos);
-			pool.putBack(team, returned.tokens(), nowNanos);
+			double ended = pool.report(team, from, returned.balances(), nowNanos);
+			if (!returned.balances().isEmpty()) {
+				pool.putBack(team, Math.min(returned.tokens(), ended), nowNanos);
+			}
+			else if (returned.ownerIncarnation() == this.incarnation) {
+				pool.putBackLate(team, returned.tokens(), returned.ownerNanos(), nowNanos);
+			}
 		}
 	}
 
@@ -450,7 +457,6 @@
 	/**
 	 * Tells which peers answer.
 	 */
-	@FunctionalInterface
 	public interface PeerReach {
 
 		/**
@@ -461,6 +467,20 @@
 		 */
 		boolean answers(String peer, long nowNanos);
 
+		/**
+		 * Returns the incarnation of a peer that was heard from last.
+		 * @param peer the peer
+		 * @return the incarnation, 0 if there is none
+		 */
+		long incarnation(String peer);
+
+		/**
+		 * Returns the peer's timestamp in its last heartbeat.
+		 * @param peer the peer
+		 * @return the peer's monotonic time in nanoseconds
+		 */
+		long sentNanos(String peer);
+
 	}
 
 }
--- a/runtime/src/test/java/org/skylarkstack/limit/LendingRulesTests.java
+++ b/runtime/src/test/java/org/skylarkstack/limit/LendingRulesTests.java
@@ -115,4 +115,30 @@
 		assertThat(stock.report("owner")).isEmpty();
 	}
 
+	/** Guards against tokens that are lost because their grant ends unspent. */
+	@Test
+	void borrowerReturnsWhatItWillNotSpend() {
+		GrantStock stock = new GrantStock(0);
+		stock.demanded(40, 0);
+		stock.add("owner", 1, 100, 2 * SECOND, 0);
+		assertThat(stock.surrender("owner", SECOND, SECOND - 1)).isEqualTo(0);
+		long surplus = stock.surrender("owner", SECOND, SECOND);
+		assertThat(surplus).isEqualTo(100 - (long) Math.ceil(40 / Math.E));
+		assertThat(stock.surrender("owner", SECOND, 2 * SECOND - SECOND / 5)).isEqualTo(100 - surplus);
+		assertThat(stock.report("owner")).containsExactly(new GrantBalance(1, 0));
+	}
+
+	/** Guards against a full bucket and refunds on their way that exceed the burst. */
+	@Test
+	void lateRefundCountsOnlyAsFarAsThereWasRoom() {
+		this.pool.addPart("a", 1, 1_000 * SECOND, 0);
+		assertThat(this.pool.take(TEAM, 300, 100 * SECOND)).isTrue();
+		assertThat(this.pool.level(TEAM, 101 * SECOND)).isWithin(0.001).of(800);
+		assertThat(this.pool.take(TEAM, 700, 101 * SECOND)).isTrue();
+		this.pool.putBackLate(TEAM, 500, 100 * SECOND, 101 * SECOND);
+		assertThat(this.pool.level(TEAM, 101 * SECOND)).isWithin(0.001).of(100);
+		this.pool.putBackLate(TEAM, 500, 100 * SECOND + 1, 101 * SECOND);
+		assertThat(this.pool.level(TEAM, 101 * SECOND)).isWithin(0.001).of(300);
+	}
+
 }
