Warm the pooled connection that the freeze test needs

Cause: load reports do not use the pool of prefills, so no connection was frozen and the test saw a success. Change: the test prefills once before it freezes the connections.

--- a/standin/src/test/java/org/skylarkstack/standin/EngineStandInTests.java
+++ b/standin/src/test/java/org/skylarkstack/standin/EngineStandInTests.java
@@ -6,17 +6,18 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import okhttp3.OkHttpClient;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.skylarkstack.configuration.EngineNode;
 import org.skylarkstack.configuration.EngineRole;
+import org.skylarkstack.engine.BackendClients;
 import org.skylarkstack.engine.DecodeEvent;
 import org.skylarkstack.engine.DecodeStream;
 import org.skylarkstack.engine.EngineCall;
 import org.skylarkstack.engine.HttpEngineClient;
 import org.skylarkstack.engine.PrefillResult;
+import org.skylarkstack.kernel.Cancellation;
 import org.skylarkstack.kernel.ErrorType;
 import org.skylarkstack.kernel.RouterException;
 import org.skylarkstack.kernel.Verdict;
@@ -43,7 +44,7 @@
 	private final ObjectMapper mapper = new ObjectMapper();
 
 	private static HttpEngineClient client(int idleMillis) {
-		return new HttpEngineClient(new OkHttpClient.Builder().retryOnConnectionFailure(false).build(),
+		return new HttpEngineClient(new BackendClients(30_000),
 				new BackendTimeouts(30_000, idleMillis, idleMillis, idleMillis, idleMillis, idleMillis, idleMillis));
 	}
 
@@ -60,7 +61,7 @@
 	private EngineCall call(String id, String prompt) {
 		ObjectNode body = this.mapper.createObjectNode().put("model", "model").put("max_tokens", OUTPUT_TOKENS);
 		body.put("prompt", prompt);
-		return new EngineCall(id, "vm.1", "/v1/completions", body);
+		return new EngineCall(id, "vm.1", "/v1/completions", body, new Cancellation());
 	}
 
 	private PrefillResult prefill(EngineCall call) {
@@ -177,7 +178,8 @@
 	@Test
 	void frozenConnectionsPassNothingAndNewOnesWork() {
 		EngineCall call = call("a.1", "summarise");
-		this.impatient.load(node(this.prefill));
+		// Prefills share a pool of connections; load reports do not use it.
+		this.impatient.prefill(node(this.prefill), call("a.0", "warm up"));
 		this.prefill.freezeConnections();
 		failureOf(() -> this.impatient.prefill(node(this.prefill), call));
 		assertThat(prefill(call).promptTokens()).isGreaterThan(0);
