Compare answers with the engine's text, restore the loan term of five seconds

Cause: scenarios expected the text of the first stand-in engine; and a loan of 3 s left a team 48 % of its rate through one VM, because a loan is usable for its term less the grant term, the age of the echo and the renewal. Change: scenarios compare with EngineStandIn.answerText; the rate scenario waits for 30 answers as well as 60 refusals; loan term 5 s again. Conclusion: a shorter loan needs a shorter grant term first.

--- a/runtime/src/main/java/org/skylarkstack/limit/LendingTerms.java
+++ b/runtime/src/main/java/org/skylarkstack/limit/LendingTerms.java
@@ -16,7 +16,11 @@
 
 	private static final long NANOS_PER_SECOND = 1_000_000_000L;
 
-	private static final long SHORTEST_LOAN_SECONDS = 3;
+	/**
+	 * A loan is usable for its term less a grant term, the age of the echo and the time
+	 * to its renewal, each up to one heartbeat. With 3 s a team got 48 % of its rate.
+	 */
+	private static final long SHORTEST_LOAN_SECONDS = 5;
 
 	/** Checks that a loan outlasts the grants that it backs. */
 	public LendingTerms {
--- a/testsuite/src/test/java/org/skylarkstack/testsuite/LimitSteps.java
+++ b/testsuite/src/test/java/org/skylarkstack/testsuite/LimitSteps.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Collectors;
 
 import io.cucumber.java.After;
 import io.cucumber.java.en.Given;
@@ -139,17 +140,20 @@
 		}
 	}
 
-	@When("the team asks every VM without pause until {int} requests were refused")
-	public void askEveryVm(int refusedRequests) throws InterruptedException {
+	@When("the team asks every VM without pause until {int} requests were answered and {int} refused")
+	public void askEveryVm(int answeredRequests, int refusedRequests) throws InterruptedException {
 		startCallers(fleet().vmIds().size());
 		long deadline = System.nanoTime() + LONGEST_WAIT.toNanos();
-		while (this.refused.get() < refusedRequests && System.nanoTime() < deadline) {
+		long answeredTokens = (long) answeredRequests * OUTPUT_TOKENS;
+		while ((this.refused.get() < refusedRequests || this.received.get() < answeredTokens)
+				&& System.nanoTime() < deadline) {
 			pause();
 		}
 		this.stopped = true;
 		this.callers.shutdown();
 		assertThat(this.callers.awaitTermination(LONGEST_WAIT.toSeconds(), TimeUnit.SECONDS)).isTrue();
 		assertThat(this.refused.get()).isAtLeast((long) refusedRequests);
+		assertThat(this.received.get()).isAtLeast(answeredTokens);
 	}
 
 	@Then("the team received at most its rate and burst")
@@ -188,7 +192,17 @@
 			double seconds = (System.nanoTime() - from) / NANOS_PER_SECOND;
 			best = Math.max(best, (this.received.get() - before) / seconds / team().tokensPerSecond());
 		}
-		assertWithMessage("share of the rate received through one VM").that(best).isAtLeast(percent / 100.0);
+		assertWithMessage("share of the rate received through one VM; refusals: " + refusalCounts()).that(best)
+			.isAtLeast(percent / 100.0);
+	}
+
+	private Map<String, Long> refusalCounts() {
+		synchronized (this.refusals) {
+			return this.refusals.stream()
+				.collect(Collectors.groupingBy(
+						(refusal) -> refusal.body().replaceAll(".*\"name\":\"([A-Z_]+)\".*", "$1"),
+						Collectors.counting()));
+		}
 	}
 
 	@When("the team asks one VM for {int} tokens at once")
--- a/testsuite/src/test/java/org/skylarkstack/testsuite/RecoverySteps.java
+++ b/testsuite/src/test/java/org/skylarkstack/testsuite/RecoverySteps.java
@@ -7,6 +7,9 @@
 import java.util.Map;
 import java.util.Objects;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import io.cucumber.java.After;
 import io.cucumber.java.en.Given;
 import io.cucumber.java.en.Then;
@@ -29,6 +32,7 @@
 import org.skylarkstack.fleet.LocalFleet;
 import org.skylarkstack.fleet.VmPlan;
 import org.skylarkstack.misc.Hashes;
+import org.skylarkstack.standin.EngineStandIn;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -95,7 +99,7 @@
 	@When("{int} callers ask for {int} tokens one after another")
 	public void ask(int callers, int tokens) {
 		for (int caller = 0; caller < callers; caller++) {
-			this.answers.add(client().send(client().chat("vm-0", KEY, MODEL, "caller " + caller, tokens)));
+			this.answers.add(client().send(client().chat("vm-0", KEY, MODEL, "x", tokens)));
 		}
 	}
 
@@ -146,27 +150,45 @@
 
 	@When("a caller asks for {int} tokens without streaming")
 	public void askWhole(int tokens) {
-		String body = "{\"model\":\"%s\",\"max_tokens\":%d,\"messages\":[{\"role\":\"user\",\"content\":\"x\"}]}"
-			.formatted(MODEL, tokens);
 		this.answers.add(client().send(client().chat("vm-0", KEY, MODEL, "x", tokens)
 			.newBuilder()
-			.post(RequestBody.create(body, MediaType.get("application/json")))
+			.post(RequestBody.create(bodyOf(tokens), MediaType.get("application/json")))
 			.build()));
 	}
 
 	@Then("every answer is whole and has the tokens 1 to {int}")
 	public void answersAreWhole(int tokens) {
-		StringBuilder expected = new StringBuilder();
-		for (int token = 1; token <= tokens; token++) {
-			expected.append(" t").append(token);
-		}
+		assertThat(this.answers).isNotEmpty();
 		for (FleetAnswer answer : this.answers) {
 			assertThat(answer.isWholeStream()).isTrue();
 			StringBuilder got = new StringBuilder();
-			for (String part : answer.body().split("\"content\":\"", -1)) {
-				got.append(part.startsWith(" t") ? part.substring(0, part.indexOf('"')) : "");
-			}
-			assertThat(got.toString()).isEqualTo(expected.toString());
+			answer.body()
+				.lines()
+				.filter((line) -> line.startsWith("data: {"))
+				.forEach((line) -> got.append(content(line.substring("data: ".length()), "delta")));
+			assertThat(got.toString()).isEqualTo(expectedText(tokens));
+		}
+	}
+
+	private static String expectedText(int tokens) {
+		return EngineStandIn.answerText(json(bodyOf(tokens)));
+	}
+
+	private static String bodyOf(int tokens) {
+		return "{\"model\":\"%s\",\"max_tokens\":%d,\"messages\":[{\"role\":\"user\",\"content\":\"x\"}]}"
+			.formatted(MODEL, tokens);
+	}
+
+	private static String content(String answer, String part) {
+		return json(answer).path("choices").path(0).path(part).path("content").asText();
+	}
+
+	private static JsonNode json(String text) {
+		try {
+			return new ObjectMapper().readTree(text);
+		}
+		catch (JsonProcessingException ex) {
+			throw new IllegalArgumentException("not valid JSON: " + text, ex);
 		}
 	}
 
@@ -198,8 +220,8 @@
 	public void answerIsWhole(int tokens) {
 		assertThat(this.answers).hasSize(1);
 		assertThat(this.answers.get(0).status()).isEqualTo(200);
-		assertThat(this.answers.get(0).body()).contains(" t" + tokens + "\"");
-		assertThat(this.answers.get(0).body()).contains("\"finish_reason\":\"stop\"");
+		assertThat(content(this.answers.get(0).body(), "message")).isEqualTo(expectedText(tokens));
+		assertThat(this.answers.get(0).body()).contains("\"finish_reason\":\"length\"");
 	}
 
 }
--- a/testsuite/src/test/resources/org/skylarkstack/testsuite/limits.feature
+++ b/testsuite/src/test/resources/org/skylarkstack/testsuite/limits.feature
@@ -3,7 +3,7 @@
 
   Scenario: The rate holds through all VMs together
     Given a limited team with 300 tokens a second and a burst of 600 on 3 VMs
-    When the team asks every VM without pause until 60 requests were refused
+    When the team asks every VM without pause until 30 requests were answered and 60 refused
     Then the team received at most its rate and burst
     And each refusal is a rate limit and states that nothing ran
 
