--- a/daemon/src/main/java/org/skylarkstack/daemon/ApiModule.java
+++ b/daemon/src/main/java/org/skylarkstack/daemon/ApiModule.java
@@ -64,20 +64,20 @@
 	@Singleton
 	static ServiceApi serviceApi(DaemonSettings settings, ConfigurationHolder configuration,
 			Authenticator authenticator, OpenRequests openRequests, CallerWatch watch, ClaimGate claims,
-			BackendClients clients, RetryBudget retryBudget, TimeSource time) {
+			BackendClients clients, RetryBudget retryBudget, RouterMetrics metrics, TimeSource time) {
 		ServiceProxy proxy = new ServiceProxy(configuration, clients, new ServiceTargets(settings.dataCentre()),
 				retryBudget, new RetryPolicy(retryBudget), settings.backendTimeouts().serviceIdleMillis(), time);
 		return new ServiceApi(configuration, authenticator, openRequests, watch, claims, proxy, settings.callerLimits(),
-				time);
+				metrics, time);
 	}
 
 	@Provides
 	@Singleton
 	static CallerApi callerApi(DaemonSettings settings, ConfigurationHolder configuration, Authenticator authenticator,
 			RequestPipeline pipeline, ServiceApi services, OpenRequests openRequests, CallerWatch watch,
-			ClaimGate claims, ShutdownSequence shutdown, TimeSource time) {
+			ClaimGate claims, ShutdownSequence shutdown, RouterMetrics metrics, TimeSource time) {
 		return new CallerApi(configuration, authenticator, pipeline, services, openRequests, watch, claims,
-				settings.callerLimits(), time, () -> shutdown.phase().ready());
+				settings.callerLimits(), metrics, time, () -> shutdown.phase().ready());
 	}
 
 	@Provides
--- a/runtime/src/main/java/org/skylarkstack/http/CallerApi.java
+++ b/runtime/src/main/java/org/skylarkstack/http/CallerApi.java
@@ -21,7 +21,10 @@
 import org.skylarkstack.kernel.ErrorType;
 import org.skylarkstack.kernel.RouterException;
 import org.skylarkstack.kernel.Verdict;
+import org.skylarkstack.metrics.RequestOutcome;
+import org.skylarkstack.metrics.RouterMetrics;
 import org.skylarkstack.misc.TimeSource;
+import org.skylarkstack.request.AnswerSink;
 import org.skylarkstack.request.CallerGoneException;
 import org.skylarkstack.request.ClaimedRun;
 import org.skylarkstack.request.CompletionRequest;
@@ -65,6 +68,10 @@
 
 	private final BodyReader bodies;
 
+	private final RouterMetrics metrics;
+
+	private final TimeSource time;
+
 	private final BooleanSupplier ready;
 
 	/**
@@ -77,12 +84,13 @@
 	 * @param watch notices callers that are gone
 	 * @param claims claims keyed non-idempotent requests
 	 * @param limits the bounds on callers
+	 * @param metrics counts requests and their latencies
 	 * @param time the time source
 	 * @param ready whether the balancer may send requests here
 	 */
 	public CallerApi(ConfigurationHolder configuration, Authenticator authenticator, RequestPipeline pipeline,
 			ServiceApi services, OpenRequests openRequests, CallerWatch watch, ClaimGate claims, CallerLimits limits,
-			TimeSource time, BooleanSupplier ready) {
+			RouterMetrics metrics, TimeSource time, BooleanSupplier ready) {
 		this.configuration = configuration;
 		this.authenticator = authenticator;
 		this.pipeline = pipeline;
@@ -92,6 +100,8 @@
 		this.claims = claims;
 		this.limits = limits;
 		this.bodies = new BodyReader(limits, time);
+		this.metrics = metrics;
+		this.time = time;
 		this.ready = ready;
 	}
 
@@ -158,6 +168,7 @@
 	}
 
 	private void complete(Context context) throws IOException {
+		long startNanos = this.time.nanos();
 		String keyHash = this.authenticator.keyHash(context.header("Authorization"));
 		Team team = this.authenticator.team(keyHash);
 		boolean idempotent = !ClaimGate.marksNonIdempotent(context);
@@ -172,7 +183,7 @@
 			exchange.checkBeforeStart();
 			ClaimGate.Pass pass = this.claims.enter(context, team.id(), idempotent, body);
 			if (!pass.answered()) {
-				run(context, connection, new Work(team, request, exchange.cancellation(), pass.run()));
+				run(context, connection, new Work(team, request, exchange.cancellation(), pass.run(), startNanos));
 			}
 		}
 	}
@@ -187,21 +198,32 @@
 			}
 		}
 		catch (CallerGoneException ex) {
+			count(work, RequestOutcome.CANCELLED);
 			connection.abort();
 		}
 	}
 
+	private void count(Work work, RequestOutcome outcome) {
+		this.metrics.request(work.request.model(), work.request.requestClass(), work.team.id(), outcome);
+	}
+
+	private AnswerSink metered(AnswerSink sink, Work work) {
+		return new MeteredSink(sink, this.metrics, work.request.requestClass(), work.startNanos, this.time);
+	}
+
 	private void whole(Context context, Work work) {
 		AnswerAssembler assembler = new AnswerAssembler(this.mapper, work.request.path());
 		try {
-			this.pipeline.run(work.team, work.request, work.cancellation, assembler);
+			this.pipeline.run(work.team, work.request, work.cancellation, metered(assembler, work));
 		}
 		catch (RouterException ex) {
 			work.failed(ex);
+			count(work, RequestOutcome.of(ex.type()));
 			throw ex;
 		}
 		byte[] answer = assembler.answer().toString().getBytes(java.nio.charset.StandardCharsets.UTF_8);
 		work.ran((answer.length <= StoredAnswer.MAX_BODY_BYTES) ? new StoredAnswer(200, JSON, answer) : null);
+		count(work, RequestOutcome.ANSWERED);
 		context.header(ErrorAnswer.VERDICT, Verdict.RAN.headerValue());
 		context.contentType(JSON).result(answer);
 	}
@@ -209,12 +231,14 @@
 	private void stream(Context context, Work work) {
 		EventStreamWriter writer = new EventStreamWriter(context, work.claimed != null);
 		try {
-			this.pipeline.run(work.team, work.request, work.cancellation, writer);
+			this.pipeline.run(work.team, work.request, work.cancellation, metered(writer, work));
 			work.ran(writer.wholeAnswer());
 			writer.finish();
+			count(work, RequestOutcome.ANSWERED);
 		}
 		catch (RouterException ex) {
 			work.failed(ex);
+			count(work, RequestOutcome.of(ex.type()));
 			if (!writer.started()) {
 				throw ex;
 			}
@@ -241,8 +265,10 @@
 	 * @param request the request
 	 * @param cancellation ends the request early
 	 * @param claimed records the outcome, or {@code null}
+	 * @param startNanos when the request arrived, in monotonic nanoseconds
 	 */
-	private record Work(Team team, CompletionRequest request, Cancellation cancellation, @Nullable ClaimedRun claimed) {
+	private record Work(Team team, CompletionRequest request, Cancellation cancellation, @Nullable ClaimedRun claimed,
+			long startNanos) {
 
 		void ran(@Nullable StoredAnswer answer) {
 			if (this.claimed != null) {
--- a/runtime/src/main/java/org/skylarkstack/http/ServiceApi.java
+++ b/runtime/src/main/java/org/skylarkstack/http/ServiceApi.java
@@ -12,6 +12,8 @@
 import org.skylarkstack.kernel.Cancellation;
 import org.skylarkstack.kernel.ErrorType;
 import org.skylarkstack.kernel.RouterException;
+import org.skylarkstack.metrics.RequestOutcome;
+import org.skylarkstack.metrics.RouterMetrics;
 import org.skylarkstack.misc.TimeSource;
 import org.skylarkstack.request.CallerGoneException;
 import org.skylarkstack.request.ClaimedRun;
@@ -22,6 +24,7 @@
 import org.skylarkstack.request.ServiceAnswer;
 import org.skylarkstack.request.ServiceProxy;
 import org.skylarkstack.request.ServiceRequest;
+import org.skylarkstack.schedule.RequestClass;
 import org.skylarkstack.settings.CallerLimits;
 
 /**
@@ -43,6 +46,8 @@
 
 	private final BodyReader bodies;
 
+	private final RouterMetrics metrics;
+
 	/**
 	 * Creates the API.
 	 * @param configuration names the routes
@@ -52,10 +57,12 @@
 	 * @param claims claims keyed non-idempotent requests
 	 * @param proxy runs requests
 	 * @param limits the bounds on callers
+	 * @param metrics counts requests
 	 * @param time the time source
 	 */
 	public ServiceApi(ConfigurationHolder configuration, Authenticator authenticator, OpenRequests openRequests,
-			CallerWatch watch, ClaimGate claims, ServiceProxy proxy, CallerLimits limits, TimeSource time) {
+			CallerWatch watch, ClaimGate claims, ServiceProxy proxy, CallerLimits limits, RouterMetrics metrics,
+			TimeSource time) {
 		this.configuration = configuration;
 		this.authenticator = authenticator;
 		this.openRequests = openRequests;
@@ -63,6 +70,7 @@
 		this.claims = claims;
 		this.proxy = proxy;
 		this.bodies = new BodyReader(limits, time);
+		this.metrics = metrics;
 	}
 
 	void serve(Context context) throws IOException {
@@ -89,22 +97,25 @@
 					body);
 			if (!pass.answered()) {
 				String target = (query != null) ? path + "?" + query : path;
-				run(context, connection, pass.run(), new ServiceRequest(route, method, target,
+				run(context, connection, pass.run(), teamId, new ServiceRequest(route, method, target,
 						HeaderFilter.towardsService(headers(context), key), body, idempotent, exchange.cancellation()));
 			}
 		}
 	}
 
-	private void run(Context context, JettyConnection connection, @Nullable ClaimedRun claimed,
+	private void run(Context context, JettyConnection connection, @Nullable ClaimedRun claimed, String teamId,
 			ServiceRequest request) {
 		ContextAnswer answer = new ContextAnswer(context);
 		try {
 			this.proxy.run(request, claimed, answer);
+			count(request, teamId, RequestOutcome.ANSWERED);
 		}
 		catch (CallerGoneException ex) {
+			count(request, teamId, RequestOutcome.CANCELLED);
 			connection.abort();
 		}
 		catch (RouterException ex) {
+			count(request, teamId, RequestOutcome.of(ex.type()));
 			if (claimed != null) {
 				claimed.failed(ex);
 			}
@@ -115,6 +126,10 @@
 		}
 	}
 
+	private void count(ServiceRequest request, String teamId, RequestOutcome outcome) {
+		this.metrics.request(request.route().serviceId(), RequestClass.INTERACTIVE, teamId, outcome);
+	}
+
 	private static List<Header> headers(Context context) {
 		List<Header> headers = new ArrayList<>();
 		for (String name : Collections.list(context.req().getHeaderNames())) {
--- a/runtime/src/test/java/org/skylarkstack/http/CallerApiTests.java
+++ b/runtime/src/test/java/org/skylarkstack/http/CallerApiTests.java
@@ -24,6 +24,7 @@
 import org.skylarkstack.engine.BackendClients;
 import org.skylarkstack.kernel.Cancellation;
 import org.skylarkstack.kernel.Verdict;
+import org.skylarkstack.metrics.RouterMetrics;
 import org.skylarkstack.misc.TimeSource;
 import org.skylarkstack.request.RequestPathFixture;
 import org.skylarkstack.request.RetryBudget;
@@ -47,6 +48,8 @@
 
 	private final CallerWatch watch = new CallerWatch();
 
+	private final RouterMetrics metrics = new RouterMetrics("dc");
+
 	private final MockWebServer service = new MockWebServer();
 
 	private Javalin server = Javalin.create();
@@ -62,9 +65,9 @@
 		ServiceProxy proxy = new ServiceProxy(this.fixture.configuration(), new BackendClients(2_000),
 				new ServiceTargets("dc"), budget, new RetryPolicy(budget), 2_000, time);
 		ServiceApi services = new ServiceApi(this.fixture.configuration(), authenticator, this.fixture.openRequests(),
-				this.watch, claims, proxy, LIMITS, time);
+				this.watch, claims, proxy, LIMITS, this.metrics, time);
 		CallerApi api = new CallerApi(this.fixture.configuration(), authenticator, this.fixture.pipeline(), services,
-				this.fixture.openRequests(), this.watch, claims, LIMITS, time, () -> true);
+				this.fixture.openRequests(), this.watch, claims, LIMITS, this.metrics, time, () -> true);
 		this.server = Javalin.create((config) -> {
 			config.startup.showJavalinBanner = false;
 			api.register(config);
@@ -221,6 +224,17 @@
 		assertThat(answer).contains("KEY_WITHDRAWN");
 		assertThat(answer).contains("t2");
 		assertThat(answer).doesNotContain("[DONE]");
+		assertThat(this.metrics.scrape()).contains("outcome=\"rejected\"");
+	}
+
+	// Guards against answered requests that the burn report does not see.
+	@Test
+	void answersAndLatenciesAreCounted() throws IOException {
+		assertThat(ask(completion(BODY))).contains("[DONE]");
+		String scrape = this.metrics.scrape();
+		assertThat(scrape)
+			.contains("class=\"interactive\",data_centre=\"dc\",outcome=\"answered\",service=\"model\"} 1.0");
+		assertThat(scrape).contains("skylark_first_token_seconds_count{class=\"interactive\"} 1");
 	}
 
 	// Guards against a claimed stream whose re-send runs again or gets another answer.
