Replace a caller's priority by that of the request's class

Cause: the body for engines was a copy of the caller's, so a caller could send a priority below 0 and jump the queues of the engines. Batch requests were sent without a priority and preceded later interactive ones there. Change: the engine body states priority 0 for interactive and 1 for batch requests; the caller's value is dropped. PolicyExperiment does not use this path.

--- a/runtime/src/main/java/org/skylarkstack/request/CompletionRequest.java
+++ b/runtime/src/main/java/org/skylarkstack/request/CompletionRequest.java
@@ -27,6 +27,10 @@
 
 	private static final int BYTES_PER_TOKEN = 4;
 
+	private static final int INTERACTIVE_PRIORITY = 0;
+
+	private static final int BATCH_PRIORITY = 1;
+
 	// The bound of the OpenAI API.
 	private static final int MAX_CHOICES = 128;
 
@@ -98,13 +102,15 @@
 
 	/**
 	 * Returns the body for engines: the output bound is stated, because it is what the
-	 * team's tokens were reserved for, and an answer that is assembled here contains its
-	 * usage.
+	 * team's tokens were reserved for, the priority is that of the request's class, and
+	 * an answer that is assembled here contains its usage. Engines serve lower priorities
+	 * first, so a caller's own value is replaced.
 	 * @return a copy of the body
 	 */
 	public ObjectNode engineBody() {
 		ObjectNode engineBody = this.body.deepCopy();
 		engineBody.put("max_tokens", outputBound(this.body));
+		engineBody.put("priority", this.requestClass.mayWait() ? BATCH_PRIORITY : INTERACTIVE_PRIORITY);
 		if (!this.stream) {
 			engineBody.putObject("stream_options").put("include_usage", true);
 		}
--- a/runtime/src/test/java/org/skylarkstack/engine/HttpEngineClientTests.java
+++ b/runtime/src/test/java/org/skylarkstack/engine/HttpEngineClientTests.java
@@ -183,6 +183,20 @@
 		assertThat(this.server.takeRequest().getHeaders().get("Last-Event-ID")).isEqualTo("2");
 	}
 
+	// Guards against a prefill or a decode that an engine serves with another priority.
+	@Test
+	void prefillAndDecodeCarryThePriority() throws Exception {
+		EngineCall call = call();
+		call.body().put("priority", 1);
+		this.server.enqueue(answer().body("{\"kv_transfer_params\":{}}").build());
+		this.server.enqueue(answer().body("data: [DONE]\n\n").build());
+		PrefillResult result = this.client.prefill(engine(), call);
+		this.client.decode(engine(), call, result, 0).close();
+		for (int request = 0; request < 2; request++) {
+			assertThat(String.valueOf(this.server.takeRequest().getBody())).contains("\"priority\":1");
+		}
+	}
+
 	// Guards against a thread that stays blocked in a call of a cancelled request.
 	@Test
 	void cancellationEndsAWaitingCall() throws Exception {
