Add scenarios of failing engines, daemons, store and services

Cause: no scenario over a whole fleet covered crashes midway, killed daemons, silent streams or lost answers of bookings. A reading of the list that names a VM before its first heartbeat is forgotten by MembershipTable, so the memory of a VM that dies and is unlisted in its first seconds is freed late.

--- /dev/null
+++ b/testsuite/src/test/java/org/skylarkstack/testsuite/FailureSteps.java
@@ -0,0 +1,414 @@
+package org.skylarkstack.testsuite;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.cucumber.java.After;
+import io.cucumber.java.en.Given;
+import io.cucumber.java.en.Then;
+import io.cucumber.java.en.When;
+import okhttp3.MediaType;
+import okhttp3.RequestBody;
+import org.jspecify.annotations.Nullable;
+import org.skylarkstack.configuration.EngineRole;
+import org.skylarkstack.configuration.Route;
+import org.skylarkstack.configuration.Team;
+import org.skylarkstack.fleet.EnginePlan;
+import org.skylarkstack.fleet.FleetAnswer;
+import org.skylarkstack.fleet.FleetClient;
+import org.skylarkstack.fleet.FleetPlan;
+import org.skylarkstack.fleet.LocalFleet;
+import org.skylarkstack.fleet.ServicePlan;
+import org.skylarkstack.fleet.VmPlan;
+import org.skylarkstack.standin.EngineRun;
+import org.skylarkstack.standin.EngineStandIn;
+import org.skylarkstack.standin.PlainServiceFault;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+/**
+ * Steps about failing parts of a fleet. Waits end when what is awaited happens; their
+ * bounds only guard against hanging.
+ */
+public class FailureSteps {
+
+	private static final String MODEL = "model";
+
+	private static final String KEY = "key-of-failures";
+
+	private static final String SERVICE = "records";
+
+	private static final String MARKER = "[crash]";
+
+	private static final String MARKED_CALLER = "marked";
+
+	private static final String DATA = "data: ";
+
+	private static final int CALLERS = 4;
+
+	private static final Duration LONGEST_WAIT = Duration.ofSeconds(60);
+
+	private static final long PAUSE_MILLIS = 10;
+
+	// An engine that restarts before the daemon has checked whether it is alive does not
+	// count as crashed.
+	private static final int RESTART_MILLIS = 2_000;
+
+	private final ObjectMapper mapper = new ObjectMapper();
+
+	private final ExecutorService callers = Executors.newFixedThreadPool(CALLERS);
+
+	private final Map<String, JsonNode> bodies = new ConcurrentHashMap<>();
+
+	private final Map<String, CompletableFuture<FleetAnswer>> streams = new HashMap<>();
+
+	private final List<FleetAnswer> answers = new ArrayList<>();
+
+	private EngineRole markedRole = EngineRole.PREFILL;
+
+	private @Nullable LocalFleet fleet;
+
+	@Given("a fleet of {int} VMs for failures with {int} prefill and {int} decode engine(s) and {int} ms a token")
+	public void startFleet(int vms, int prefills, int decodes, int tokenMillis) {
+		List<VmPlan> vmPlans = new ArrayList<>();
+		for (int vm = 0; vm < vms; vm++) {
+			vmPlans.add(new VmPlan("vm-" + vm, "dc-0"));
+		}
+		List<EnginePlan> engines = new ArrayList<>();
+		for (int engine = 0; engine < prefills + decodes; engine++) {
+			EngineRole role = (engine < prefills) ? EngineRole.PREFILL : EngineRole.DECODE;
+			engines.add(new EnginePlan("engine-" + engine, "dc-0", MODEL, role, 20, 640, 20_000, tokenMillis));
+		}
+		this.fleet = LocalFleet
+			.start(new FleetPlan(vmPlans, engines, List.of(new Team("failures", 100_000, 600_000, 1, null)),
+					Map.of(KEY, "failures"), List.of(new ServicePlan(SERVICE, List.of("dc-0", "dc-0"))),
+					List.of(new Route("bookings", "/bookings", Set.of("POST"), SERVICE, false, true)), "fair-queue"));
+		assertThat(client().submit("vm-0", fleet().firstTicket()).status()).isEqualTo(201);
+		assertThat(client().awaitReady(LONGEST_WAIT)).isAtLeast(0L);
+	}
+
+	private LocalFleet fleet() {
+		return Objects.requireNonNull(this.fleet);
+	}
+
+	private FleetClient client() {
+		return new FleetClient(fleet());
+	}
+
+	/** Stops the callers and the fleet. */
+	@After
+	public void stopFleet() {
+		this.callers.shutdownNow();
+		if (this.fleet != null) {
+			this.fleet.close();
+		}
+	}
+
+	private Stream<EngineStandIn> engines() {
+		return fleet().plan().engines().stream().map((engine) -> fleet().engine(engine.id()));
+	}
+
+	private Stream<EngineStandIn> engines(EngineRole role) {
+		return fleet().plan()
+			.engines()
+			.stream()
+			.filter((engine) -> engine.role() == role)
+			.map((engine) -> fleet().engine(engine.id()));
+	}
+
+	private static void await(String what, BooleanSupplier condition) {
+		long deadline = System.nanoTime() + LONGEST_WAIT.toNanos();
+		boolean holds = condition.getAsBoolean();
+		while (!holds && System.nanoTime() < deadline) {
+			pause();
+			holds = condition.getAsBoolean();
+		}
+		assertWithMessage(what).that(holds).isTrue();
+	}
+
+	private static void pause() {
+		try {
+			Thread.sleep(PAUSE_MILLIS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private FleetAnswer ask(String vmId, String caller, String prompt, int tokens) {
+		ObjectNode body = this.mapper.createObjectNode()
+			.put("model", MODEL)
+			.put("stream", true)
+			.put("max_tokens", tokens)
+			.put("user", caller);
+		body.putArray("messages").addObject().put("role", "user").put("content", prompt);
+		this.bodies.put(caller, body);
+		return client().send(client().chat(vmId, KEY, MODEL, prompt, tokens)
+			.newBuilder()
+			.post(RequestBody.create(body.toString(), MediaType.get("application/json")))
+			.build());
+	}
+
+	private String text(FleetAnswer answer) {
+		StringBuilder text = new StringBuilder();
+		answer.body()
+			.lines()
+			.filter((line) -> line.startsWith(DATA + "{"))
+			.forEach((line) -> text.append(content(line.substring(DATA.length()))));
+		return text.toString();
+	}
+
+	private String content(String event) {
+		try {
+			return this.mapper.readTree(event).at("/choices/0/delta/content").asText();
+		}
+		catch (JsonProcessingException ex) {
+			throw new IllegalStateException("event %s is not JSON".formatted(event), ex);
+		}
+	}
+
+	private void assertWhole(String caller, FleetAnswer answer) {
+		assertWithMessage("answer %s", answer).that(answer.isWholeStream()).isTrue();
+		assertThat(text(answer)).isEqualTo(EngineStandIn.answerText(Objects.requireNonNull(this.bodies.get(caller))));
+	}
+
+	private static EngineRun run(EngineStandIn engine, String caller) {
+		return engine.runsByUser().getOrDefault(caller, EngineRun.NONE);
+	}
+
+	@When("{string} is asked for {int} tokens by {string}")
+	public void startStream(String vmId, int tokens, String caller) {
+		this.streams.put(caller,
+				CompletableFuture.supplyAsync(() -> ask(vmId, caller, "report for " + caller, tokens), this.callers));
+	}
+
+	private EngineStandIn awaitDecode(String caller, int tokens) {
+		await("%d tokens for %s".formatted(tokens, caller),
+				() -> engines().anyMatch((engine) -> run(engine, caller).outputTokens() >= tokens));
+		return engines().filter((engine) -> run(engine, caller).outputTokens() >= tokens).findFirst().orElseThrow();
+	}
+
+	@When("{int} tokens were decoded for {string} and for {string}")
+	public void awaitDecodes(int tokens, String caller, String other) {
+		awaitDecode(caller, tokens);
+		awaitDecode(other, tokens);
+	}
+
+	@When("the engine that decodes for {string} crashes after {int} tokens")
+	public void crash(String caller, int tokens) {
+		awaitDecode(caller, tokens).crash(RESTART_MILLIS);
+	}
+
+	@When("the connections of the engine that decodes for {string} go silent after {int} tokens")
+	public void silence(String caller, int tokens) {
+		awaitDecode(caller, tokens).freezeConnections();
+	}
+
+	@Then("{string} gets the text of the model once and whole")
+	public void streamIsWhole(String caller) {
+		CompletableFuture<FleetAnswer> stream = Objects.requireNonNull(this.streams.get(caller));
+		await("end of the stream of " + caller, stream::isDone);
+		assertWhole(caller, stream.join());
+	}
+
+	@Then("{int} engine(s) decoded for {string}")
+	public void enginesDecoded(int count, String caller) {
+		assertThat(engines().mapToInt((engine) -> run(engine, caller).decodes()).sum()).isEqualTo(count);
+	}
+
+	@Then("no engine holds anything in the end")
+	public void nothingIsHeld() {
+		await("engines hold nothing", () -> engines().allMatch((engine) -> engine.held().isEmpty()));
+	}
+
+	@When("a marked prompt crashes every {word} engine that runs it")
+	public void markPrompt(String role) {
+		this.markedRole = EngineRole.valueOf(role.toUpperCase(Locale.ROOT));
+		engines(this.markedRole).forEach((engine) -> {
+			engine.faults().restartAfter(RESTART_MILLIS);
+			engine.faults().crashOn(MARKER);
+		});
+	}
+
+	@When("its caller sends it {int} times through each VM")
+	public void sendMarked(int times) {
+		for (int time = 0; time < times; time++) {
+			fleet().vmIds().forEach((vmId) -> this.answers.add(ask(vmId, MARKED_CALLER, "sum up " + MARKER, 8)));
+		}
+	}
+
+	// A marked request crashes each engine on which it gets as far as this counts.
+	private int lostEngines() {
+		return engines(this.markedRole).map((engine) -> run(engine, MARKED_CALLER))
+			.mapToInt((run) -> (this.markedRole == EngineRole.PREFILL) ? run.prefills() : run.decodes())
+			.sum();
+	}
+
+	@Then("it cost at least {int} and at most {int} engines")
+	public void lostAtMost(int least, int most) {
+		assertThat(this.answers.stream().noneMatch(FleetAnswer::isWholeStream)).isTrue();
+		assertThat(lostEngines()).isAtLeast(least);
+		assertThat(lostEngines()).isAtMost(most);
+	}
+
+	@Then("its last answer names the error {string}")
+	public void lastAnswerNames(String error) {
+		assertThat(this.answers.get(this.answers.size() - 1).body()).contains(error);
+	}
+
+	@Then("{string} gets {int} tokens whole through each VM")
+	public void answersAreWhole(String caller, int tokens) {
+		fleet().vmIds().forEach((vmId) -> assertWhole(caller, ask(vmId, caller, "register of " + vmId, tokens)));
+	}
+
+	@Given("the engines do not notice broken connections")
+	public void keepAfterDisconnect() {
+		engines().forEach((engine) -> engine.faults().keepAfterDisconnect(true));
+	}
+
+	@When("the daemon of {string} is killed and starts again")
+	public void restart(String vmId) {
+		kill(vmId);
+		fleet().startDaemon(vmId);
+	}
+
+	private void kill(String vmId) {
+		fleet().killDaemon(vmId);
+		assertThat(holdsFor(vmId)).isTrue();
+	}
+
+	// A VM that no reading of the list has named counts as not listed yet, and its
+	// removal from the list as a lag.
+	private void awaitListed(String vmId) {
+		await("peers read %s in the list".formatted(vmId),
+				() -> fleet().vmIds()
+					.stream()
+					.filter((peer) -> !peer.equals(vmId))
+					.allMatch((peer) -> fleet().daemon(peer)
+						.membership()
+						.peers()
+						.stream()
+						.anyMatch((status) -> status.member().vmId().equals(vmId) && status.listed())));
+	}
+
+	@When("the daemon of {string} is killed and is not listed")
+	public void remove(String vmId) {
+		awaitListed(vmId);
+		kill(vmId);
+		fleet().platform().vmList().remove(vmId);
+	}
+
+	/**
+	 * Lets all peers regard a VM as dead that still talks to its engines.
+	 * @param vmId the VM
+	 */
+	@When("{string} is cut off from its peers and is not listed")
+	public void cutOff(String vmId) {
+		awaitListed(vmId);
+		fleet().vmIds().stream().filter((peer) -> !peer.equals(vmId)).forEach((peer) -> {
+			fleet().daemon(vmId).transport().blockPeer(peer, true);
+			fleet().daemon(peer).transport().blockPeer(vmId, true);
+		});
+		fleet().platform().vmList().remove(vmId);
+	}
+
+	private boolean holdsFor(String vmId) {
+		return engines()
+			.anyMatch((engine) -> engine.held().stream().anyMatch((held) -> held.owner().startsWith(vmId + ".")));
+	}
+
+	@Then("the engines hold nothing for {string} in the end")
+	public void heldIsFreed(String vmId) {
+		await("memory of %s is freed".formatted(vmId), () -> !holdsFor(vmId));
+	}
+
+	@Then("nobody finished the decode for {string}")
+	public void nobodyFinished(String caller) {
+		assertThat(engines().mapToInt((engine) -> run(engine, caller).finished()).sum()).isEqualTo(0);
+	}
+
+	@When("the store of the failing fleet is down")
+	public void stopPlatform() {
+		fleet().platform().faults().down(true);
+	}
+
+	@When("the store of the failing fleet is up again")
+	public void resumePlatform() {
+		fleet().platform().faults().down(false);
+	}
+
+	private FleetAnswer book(String vmId, @Nullable String key) {
+		return client().send(client().service(vmId, KEY, "/bookings", "{\"visit\":1}", key));
+	}
+
+	@When("a booking with key {string} is sent through each VM")
+	public void bookThroughEachVm(String key) {
+		fleet().vmIds().forEach((vmId) -> this.answers.add(book(vmId, key)));
+	}
+
+	@When("a booking without a key is sent through {string}")
+	public void bookWithoutKey(String vmId) {
+		this.answers.add(book(vmId, null));
+	}
+
+	@Then("each booking has status {int} and verdict {string}")
+	public void bookingsHave(int status, String verdict) {
+		assertThat(this.answers).isNotEmpty();
+		for (FleetAnswer answer : this.answers) {
+			assertThat(answer.status()).isEqualTo(status);
+			assertThat(answer.verdict()).isEqualTo(verdict);
+		}
+	}
+
+	@Then("each booking has no success and verdict {string}")
+	public void bookingsFail(String verdict) {
+		assertThat(this.answers).isNotEmpty();
+		for (FleetAnswer answer : this.answers) {
+			assertThat(answer.status()).isAtLeast(400);
+			assertThat(answer.verdict()).isEqualTo(verdict);
+		}
+	}
+
+	// Only refusals as not run are sent again.
+	@Then("a booking with key {string} succeeds in the end")
+	public void bookingSucceeds(String key) {
+		await("booking " + key, () -> {
+			FleetAnswer answer = book("vm-1", key);
+			if (answer.status() != 201) {
+				assertThat(answer.verdict()).isEqualTo("not-run");
+			}
+			return answer.status() == 201;
+		});
+	}
+
+	@When("the service drops the connection of its next booking after the effect")
+	public void dropAfterEffect() {
+		fleet().services(SERVICE).forEach((server) -> server.hit(PlainServiceFault.DROP_AFTER_EFFECT, 1));
+	}
+
+	@Then("the service saw {int} booking(s)")
+	public void serviceSaw(int bookings) {
+		assertThat(fleet().services(SERVICE).stream().mapToInt((server) -> server.requests().size()).sum())
+			.isEqualTo(bookings);
+		assertThat(fleet().services(SERVICE).stream().mapToInt((server) -> server.effects().size()).sum())
+			.isEqualTo(bookings);
+	}
+
+}
