Count a list reading from before a VM's first heartbeat

Cause: a reading that named a VM before its first heartbeat was forgotten; a VM that died before the next reading counted as never listed, and its memory on engines stayed held for ten minutes. Change: the table keeps the names of the last reading. Conclusion: dead VMs are swept after the next reading of the list.

--- a/runtime/src/main/java/org/skylarkstack/membership/MembershipTable.java
+++ b/runtime/src/main/java/org/skylarkstack/membership/MembershipTable.java
@@ -47,6 +47,8 @@
 
 	private final Map<DeadIncarnation, Long> firstAskedNanos = new BoundedMap<>();
 
+	private Set<String> lastReading = Set.of();
+
 	private boolean leaving;
 
 	/**
@@ -102,7 +104,8 @@
 		long lastEcho = echoes ? heartbeat.echoNanos()
 				: ((former != null && sameStart) ? former.lastEchoNanos() : nowNanos);
 		boolean echoed = echoes || (former != null && sameStart && former.echoed());
-		boolean listed = former != null && former.listed();
+		// The list is read rarely; a reading from before the first heartbeat counts too.
+		boolean listed = this.lastReading.contains(from) || (former != null && former.listed());
 		this.dead.remove(new DeadIncarnation(from, heartbeat.incarnation()));
 		this.suspectSinceNanos.remove(from);
 		this.peers.put(from,
@@ -138,6 +141,7 @@
 	 */
 	public void platformList(Collection<String> vmIds, long readNanos) {
 		Set<String> named = Set.copyOf(vmIds);
+		this.lastReading = named;
 		for (PeerStatus status : List.copyOf(this.peers.values())) {
 			String vmId = status.member().vmId();
 			if (named.contains(vmId)) {
--- a/runtime/src/test/java/org/skylarkstack/membership/MembershipTableTests.java
+++ b/runtime/src/test/java/org/skylarkstack/membership/MembershipTableTests.java
@@ -59,6 +59,19 @@
 		assertThat(this.table.isDead("vm-1", 10, 700 * SECOND)).isTrue();
 	}
 
+	/**
+	 * Guards against memory of a dead VM that stays held for ten minutes because the list
+	 * was read before the VM's first heartbeat and not again before its end.
+	 */
+	@Test
+	void memberNamedByTheReadingBeforeItsFirstHeartbeatCountsAsListed() {
+		this.table.platformList(List.of("vm-1"), 0);
+		this.table.heartbeat("vm-1", from(10, 0), SECOND);
+		this.table.advance(10 * SECOND);
+		this.table.platformList(List.of(), 12 * SECOND);
+		assertThat(this.table.isDead("vm-1", 10, 12 * SECOND)).isTrue();
+	}
+
 	/** Guards against a late heartbeat that brings a replaced incarnation back. */
 	@Test
 	void replacedIncarnationStaysDead() {
