Measure the slopes of fleets and limits

Cause: docs/CAPACITY.md needs the cost of peers, processor time, heap, store operations and the time until a ticket is in force against fleet size.

--- /dev/null
+++ b/bench/src/main/java/org/skylarkstack/bench/slope/LimitSlopes.java
@@ -0,0 +1,92 @@
+package org.skylarkstack.bench.slope;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.skylarkstack.configuration.Team;
+import org.skylarkstack.limit.LendingTerms;
+import org.skylarkstack.limit.ReserveOutcome;
+import org.skylarkstack.limit.SlotLease;
+import org.skylarkstack.limit.TokenLending;
+
+/**
+ * Heap of the limits of one owner against the number of teams that are active at once.
+ */
+final class LimitSlopes {
+
+	private static final int[] TEAMS = { 5_000, 10_000, 20_000, 40_000 };
+
+	private static final long SECOND_NANOS = 1_000_000_000L;
+
+	private static final long HEARTBEAT_NANOS = SECOND_NANOS;
+
+	private static final long TOKENS = 10;
+
+	private LimitSlopes() {
+	}
+
+	static List<Slope> measure(int repeats) {
+		List<SlopePoint> bytes = new ArrayList<>();
+		for (int repeat = 0; repeat < repeats; repeat++) {
+			for (int count : TEAMS) {
+				bytes.add(new SlopePoint(count, repeat, heapOf(teams(count))));
+			}
+		}
+		return List.of(Slope.fit("heap of the limits", "active teams", "bytes", bytes));
+	}
+
+	private static Map<String, Team> teams(int count) {
+		Map<String, Team> teams = new HashMap<>();
+		for (int team = 0; team < count; team++) {
+			teams.put("team-" + team, new Team("team-" + team, 1_000, 60_000, 1, null));
+		}
+		return teams;
+	}
+
+	private static long heapOf(Map<String, Team> teams) {
+		long before = HeapMeter.usedBytes();
+		TokenLending lending = new TokenLending("vm", 1, 1, LendingTerms.forPeriod(HEARTBEAT_NANOS), 1, teams::get,
+				new NoPeers(), (vmId, message) -> {
+				});
+		lending.slot(new SlotLease(0, 0, 3_600 * SECOND_NANOS), 0);
+		lending.tick(0);
+		long now = 10 * SECOND_NANOS;
+		long reserved = teams.values()
+			.stream()
+			.filter((team) -> lending.tryReserve(team, TOKENS, false, now).kind() == ReserveOutcome.Kind.RESERVED)
+			.count();
+		if (reserved != teams.size()) {
+			throw new IllegalStateException("only %d of %d teams got tokens".formatted(reserved, teams.size()));
+		}
+		long used = HeapMeter.usedBytes() - before;
+		if (lending.teamStates() < teams.size()) {
+			throw new IllegalStateException("teams lost their state");
+		}
+		return used;
+	}
+
+	/**
+	 * Reach of a VM that has no peers.
+	 */
+	private static final class NoPeers implements TokenLending.PeerReach {
+
+		@Override
+		public boolean answers(String peer, long nowNanos) {
+			return false;
+		}
+
+		@Override
+		public long incarnation(String peer) {
+			return 0;
+		}
+
+		@Override
+		public long sentNanos(String peer) {
+			return 0;
+		}
+
+	}
+
+}
--- a/daemon/src/main/java/org/skylarkstack/daemon/Daemon.java
+++ b/daemon/src/main/java/org/skylarkstack/daemon/Daemon.java
@@ -143,6 +143,14 @@
 		return this.fleetDuties.membership();
 	}
 
+	/**
+	 * Returns the number up to which all tickets are in force here.
+	 * @return the ticket number, 0 before the first
+	 */
+	public long appliedNumber() {
+		return this.fleetDuties.appliedNumber();
+	}
+
 	/** Shuts down without cutting a request off, within the bounds of the settings. */
 	public void shutDown() {
 		this.shutdown.begin(System.nanoTime());
--- a/daemon/src/main/java/org/skylarkstack/daemon/FleetDuties.java
+++ b/daemon/src/main/java/org/skylarkstack/daemon/FleetDuties.java
@@ -58,6 +58,10 @@
 		return this.membership;
 	}
 
+	long appliedNumber() {
+		return this.configuration.appliedNumber();
+	}
+
 	/** Tells the peers that this VM takes no new shared work. */
 	void leave() {
 		this.membership.leave();
