Show bookings, cancels, withdrawn keys, limits and a dying engine in the demo

Cause: the demo showed only whole answers, and peer ports found with a bind to port 0 were at times taken before their daemon started. Change: the demo sends all kinds of requests and checks each; peer ports come from below the ephemeral range.

--- a/bench/src/main/java/org/skylarkstack/fleet/FleetClient.java
+++ b/bench/src/main/java/org/skylarkstack/fleet/FleetClient.java
@@ -12,6 +12,7 @@
 import okhttp3.Request;
 import okhttp3.RequestBody;
 import okhttp3.Response;
+import okio.BufferedSource;
 import org.jspecify.annotations.Nullable;
 import org.skylarkstack.configuration.Ticket;
 
@@ -140,13 +141,51 @@
 	 * @return the answer; status 0 if the connection broke
 	 */
 	public FleetAnswer send(Request request) {
+		return read(request, (source) -> source.readUtf8());
+	}
+
+	/**
+	 * Sends a request, acts once the first line of its answer has arrived, and reads the
+	 * rest.
+	 * @param request the request
+	 * @param action what to do
+	 * @return the answer; status 0 if the connection broke
+	 */
+	public FleetAnswer sendAndThen(Request request, Runnable action) {
+		return read(request, (source) -> {
+			String first = source.readUtf8LineStrict();
+			action.run();
+			return first + "\n" + source.readUtf8();
+		});
+	}
+
+	/**
+	 * Sends a request and closes the connection after the first line of its answer.
+	 * @param request the request
+	 * @return the answer as far as it was read; status 0 if the connection broke
+	 */
+	public FleetAnswer sendAndCancel(Request request) {
+		return read(request, (source) -> source.readUtf8LineStrict());
+	}
+
+	private FleetAnswer read(Request request, BodyReader reader) {
 		try (Response response = this.client.newCall(request).execute()) {
 			return new FleetAnswer(response.code(),
-					Objects.requireNonNullElse(response.header("X-Skylark-Verdict"), ""), response.body().string());
+					Objects.requireNonNullElse(response.header("X-Skylark-Verdict"), ""),
+					reader.read(response.body().source()));
 		}
 		catch (IOException ex) {
 			return new FleetAnswer(0, "", String.valueOf(ex.getMessage()));
 		}
 	}
 
+	/**
+	 * Reads as much of an answer as is wanted.
+	 */
+	private interface BodyReader {
+
+		String read(BufferedSource source) throws IOException;
+
+	}
+
 }
--- a/bench/src/main/java/org/skylarkstack/fleet/LocalFleet.java
+++ b/bench/src/main/java/org/skylarkstack/fleet/LocalFleet.java
@@ -1,7 +1,5 @@
 package org.skylarkstack.fleet;
 
-import java.io.IOException;
-import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.LinkedHashMap;
@@ -67,20 +65,11 @@
 					service.dataCentres().stream().map((dataCentre) -> new PlainServiceStandIn(0)).toList()));
 		plan.vms()
 			.forEach((vm) -> fleet.peers
-				.add(new PeerSettings(vm.vmId(), vm.dataCentre(), new ListenAddress(LOOPBACK, freePort()))));
+				.add(new PeerSettings(vm.vmId(), vm.dataCentre(), new ListenAddress(LOOPBACK, PeerPorts.next()))));
 		plan.vms().forEach((vm) -> fleet.startDaemon(vm.vmId()));
 		return fleet;
 	}
 
-	private static int freePort() {
-		try (ServerSocket socket = new ServerSocket(0)) {
-			return socket.getLocalPort();
-		}
-		catch (IOException ex) {
-			throw new IllegalStateException("no free port on loopback", ex);
-		}
-	}
-
 	/**
 	 * Starts the daemon of a VM, with a new incarnation.
 	 * @param vmId the VM
@@ -132,14 +121,22 @@
 		List<TicketChange> changes = new ArrayList<>();
 		this.plan.teams().forEach((team) -> changes.add(TicketChange.set(team)));
 		this.plan.keys()
-			.forEach((key, team) -> changes.add(TicketChange
-				.set(new ApiKey("key-" + Hashes.sha256(key).substring(0, 8), Hashes.sha256(key), team))));
+			.forEach((key, team) -> changes.add(TicketChange.set(new ApiKey(keyId(key), Hashes.sha256(key), team))));
 		this.plan.engines().forEach((engine) -> changes.add(TicketChange.set(engine.node(engine(engine.id()).url()))));
 		this.plan.services().forEach((service) -> changes.add(TicketChange.set(backendService(service))));
 		this.plan.routes().forEach((route) -> changes.add(TicketChange.set(route)));
 		return new Ticket(1, "local", changes);
 	}
 
+	/**
+	 * Returns the identifier under which the first ticket sets up a key.
+	 * @param key the key
+	 * @return the identifier
+	 */
+	public static String keyId(String key) {
+		return "key-" + Hashes.sha256(key).substring(0, 8);
+	}
+
 	private BackendService backendService(ServicePlan service) {
 		List<BackendServer> servers = new ArrayList<>();
 		for (int server = 0; server < service.dataCentres().size(); server++) {
