Start the fleets of all scenarios through one class

Cause: five step classes built and stopped their fleets with the same lines. Change: ScenarioFleet plans VMs and engines, starts, waits and stops. Conclusion: new steps need only a plan.

--- a/testsuite/src/test/java/org/skylarkstack/testsuite/FailureSteps.java
+++ b/testsuite/src/test/java/org/skylarkstack/testsuite/FailureSteps.java
@@ -29,13 +29,11 @@
 import org.skylarkstack.configuration.EngineRole;
 import org.skylarkstack.configuration.Route;
 import org.skylarkstack.configuration.Team;
-import org.skylarkstack.fleet.EnginePlan;
 import org.skylarkstack.fleet.FleetAnswer;
 import org.skylarkstack.fleet.FleetClient;
 import org.skylarkstack.fleet.FleetPlan;
 import org.skylarkstack.fleet.LocalFleet;
 import org.skylarkstack.fleet.ServicePlan;
-import org.skylarkstack.fleet.VmPlan;
 import org.skylarkstack.standin.EngineRun;
 import org.skylarkstack.standin.EngineStandIn;
 import org.skylarkstack.standin.PlainServiceFault;
@@ -49,7 +47,7 @@
  */
 public class FailureSteps {
 
-	private static final String MODEL = "model";
+	private static final String MODEL = ScenarioFleet.MODEL;
 
 	private static final String KEY = "key-of-failures";
 
@@ -83,42 +81,30 @@
 
 	private EngineRole markedRole = EngineRole.PREFILL;
 
-	private @Nullable LocalFleet fleet;
+	private final ScenarioFleet scenario = new ScenarioFleet();
 
 	@Given("a fleet of {int} VMs for failures with {int} prefill and {int} decode engine(s) and {int} ms a token")
 	public void startFleet(int vms, int prefills, int decodes, int tokenMillis) {
-		List<VmPlan> vmPlans = new ArrayList<>();
-		for (int vm = 0; vm < vms; vm++) {
-			vmPlans.add(new VmPlan("vm-" + vm, "dc-0"));
-		}
-		List<EnginePlan> engines = new ArrayList<>();
-		for (int engine = 0; engine < prefills + decodes; engine++) {
-			EngineRole role = (engine < prefills) ? EngineRole.PREFILL : EngineRole.DECODE;
-			engines.add(new EnginePlan("engine-" + engine, "dc-0", MODEL, role, 20, 640, 20_000, tokenMillis));
-		}
-		this.fleet = LocalFleet
-			.start(new FleetPlan(vmPlans, engines, List.of(new Team("failures", 100_000, 600_000, 1, null)),
-					Map.of(KEY, "failures"), List.of(new ServicePlan(SERVICE, List.of("dc-0", "dc-0"))),
-					List.of(new Route("bookings", "/bookings", Set.of("POST"), SERVICE, false, true)), "fair-queue"));
-		assertThat(client().submit("vm-0", fleet().firstTicket()).status()).isEqualTo(201);
-		assertThat(client().awaitReady(LONGEST_WAIT)).isAtLeast(0L);
+		this.scenario.start(new FleetPlan(ScenarioFleet.vms(vms, 1),
+				ScenarioFleet.engines(prefills, decodes, 1, 640, tokenMillis),
+				List.of(new Team("failures", 100_000, 600_000, 1, null)), Map.of(KEY, "failures"),
+				List.of(new ServicePlan(SERVICE, List.of("dc-0", "dc-0"))),
+				List.of(new Route("bookings", "/bookings", Set.of("POST"), SERVICE, false, true)), "fair-queue"));
 	}
 
 	private LocalFleet fleet() {
-		return Objects.requireNonNull(this.fleet);
+		return this.scenario.fleet();
 	}
 
 	private FleetClient client() {
-		return new FleetClient(fleet());
+		return this.scenario.client();
 	}
 
 	/** Stops the callers and the fleet. */
 	@After
 	public void stopFleet() {
 		this.callers.shutdownNow();
-		if (this.fleet != null) {
-			this.fleet.close();
-		}
+		this.scenario.close();
 	}
 
 	private Stream<EngineStandIn> engines() {
--- a/testsuite/src/test/java/org/skylarkstack/testsuite/FleetSteps.java
+++ b/testsuite/src/test/java/org/skylarkstack/testsuite/FleetSteps.java
@@ -1,24 +1,18 @@
 package org.skylarkstack.testsuite;
 
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 
 import io.cucumber.java.After;
 import io.cucumber.java.en.Given;
 import io.cucumber.java.en.Then;
 import io.cucumber.java.en.When;
-import org.jspecify.annotations.Nullable;
-import org.skylarkstack.configuration.EngineRole;
 import org.skylarkstack.configuration.Team;
-import org.skylarkstack.fleet.EnginePlan;
 import org.skylarkstack.fleet.FleetAnswer;
 import org.skylarkstack.fleet.FleetClient;
 import org.skylarkstack.fleet.FleetPlan;
 import org.skylarkstack.fleet.LocalFleet;
-import org.skylarkstack.fleet.VmPlan;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -27,15 +21,13 @@
  */
 public class FleetSteps {
 
-	private static final String MODEL = "model";
+	private static final String MODEL = ScenarioFleet.MODEL;
 
 	private static final String KEY = "key-of-registers";
 
-	private static final Duration READY_TIMEOUT = Duration.ofSeconds(20);
-
 	private final List<FleetAnswer> answers = new ArrayList<>();
 
-	private @Nullable LocalFleet fleet;
+	private final ScenarioFleet scenario = new ScenarioFleet();
 
 	/**
 	 * Starts a fleet and sets it up with one team.
@@ -46,36 +38,23 @@
 	 */
 	@Given("a fleet of {int} VMs in {int} data centres with {int} prefill engine(s) and {int} decode engine(s)")
 	public void startFleet(int vms, int dataCentres, int prefills, int decodes) {
-		List<VmPlan> vmPlans = new ArrayList<>();
-		for (int vm = 0; vm < vms; vm++) {
-			vmPlans.add(new VmPlan("vm-" + vm, "dc-" + vm % dataCentres));
-		}
-		List<EnginePlan> engines = new ArrayList<>();
-		for (int engine = 0; engine < prefills + decodes; engine++) {
-			EngineRole role = (engine < prefills) ? EngineRole.PREFILL : EngineRole.DECODE;
-			engines
-				.add(new EnginePlan("engine-" + engine, "dc-" + engine % dataCentres, MODEL, role, 20, 64, 20_000, 5));
-		}
-		this.fleet = LocalFleet.start(new FleetPlan(vmPlans, engines,
+		this.scenario.start(new FleetPlan(ScenarioFleet.vms(vms, dataCentres),
+				ScenarioFleet.engines(prefills, decodes, dataCentres, 64, 5),
 				List.of(new Team("registers", 10_000, 60_000, 1, null)), Map.of(KEY, "registers"), "fair-queue"));
-		assertThat(client().submit(fleet().vmIds().get(0), fleet().firstTicket()).status()).isEqualTo(201);
-		assertThat(client().awaitReady(READY_TIMEOUT)).isAtLeast(0L);
 	}
 
 	private LocalFleet fleet() {
-		return Objects.requireNonNull(this.fleet);
+		return this.scenario.fleet();
 	}
 
 	private FleetClient client() {
-		return new FleetClient(fleet());
+		return this.scenario.client();
 	}
 
 	/** Stops the fleet. */
 	@After
 	public void stopFleet() {
-		if (this.fleet != null) {
-			this.fleet.close();
-		}
+		this.scenario.close();
 	}
 
 	@When("team {string} asks each VM for {int} tokens")
--- a/testsuite/src/test/java/org/skylarkstack/testsuite/LimitSteps.java
+++ b/testsuite/src/test/java/org/skylarkstack/testsuite/LimitSteps.java
@@ -23,7 +23,6 @@
 import org.skylarkstack.fleet.FleetClient;
 import org.skylarkstack.fleet.FleetPlan;
 import org.skylarkstack.fleet.LocalFleet;
-import org.skylarkstack.fleet.VmPlan;
 
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
@@ -34,7 +33,7 @@
  */
 public class LimitSteps {
 
-	private static final String MODEL = "model";
+	private static final String MODEL = ScenarioFleet.MODEL;
 
 	private static final String KEY = "key-of-limited";
 
@@ -58,7 +57,7 @@
 
 	private final List<FleetAnswer> refusals = new ArrayList<>();
 
-	private @Nullable LocalFleet fleet;
+	private final ScenarioFleet scenario = new ScenarioFleet();
 
 	private @Nullable Team team;
 
@@ -68,28 +67,22 @@
 
 	@Given("a limited team with {int} tokens a second and a burst of {int} on {int} VMs")
 	public void startFleet(int rate, int burst, int vms) {
-		List<VmPlan> vmPlans = new ArrayList<>();
-		for (int vm = 0; vm < vms; vm++) {
-			vmPlans.add(new VmPlan("vm-" + vm, "dc-" + vm));
-		}
 		List<EnginePlan> engines = List.of(
 				new EnginePlan("prefill", "dc-0", MODEL, EngineRole.PREFILL, 40, 64, 20_000, 2),
 				new EnginePlan("decode", "dc-0", MODEL, EngineRole.DECODE, 40, 640, 20_000, 2));
 		Team limited = new Team("limited", rate, burst, 1, null);
 		this.team = limited;
 		this.startNanos = System.nanoTime();
-		this.fleet = LocalFleet
-			.start(new FleetPlan(vmPlans, engines, List.of(limited), Map.of(KEY, "limited"), "fair-queue"));
-		assertThat(client().submit("vm-0", fleet().firstTicket()).status()).isEqualTo(201);
-		assertThat(client().awaitReady(LONGEST_WAIT)).isAtLeast(0L);
+		this.scenario.start(new FleetPlan(ScenarioFleet.vms(vms, vms), engines, List.of(limited),
+				Map.of(KEY, "limited"), "fair-queue"));
 	}
 
 	private LocalFleet fleet() {
-		return Objects.requireNonNull(this.fleet);
+		return this.scenario.fleet();
 	}
 
 	private FleetClient client() {
-		return new FleetClient(fleet());
+		return this.scenario.client();
 	}
 
 	private Team team() {
@@ -102,9 +95,7 @@
 		this.stopped = true;
 		this.callers.shutdown();
 		this.callers.awaitTermination(LONGEST_WAIT.toSeconds(), TimeUnit.SECONDS);
-		if (this.fleet != null) {
-			this.fleet.close();
-		}
+		this.scenario.close();
 	}
 
 	private void startCallers(int vms) {
--- a/testsuite/src/test/java/org/skylarkstack/testsuite/RecoverySteps.java
+++ b/testsuite/src/test/java/org/skylarkstack/testsuite/RecoverySteps.java
@@ -5,7 +5,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -19,18 +18,14 @@
 import okhttp3.Request;
 import okhttp3.RequestBody;
 import okhttp3.Response;
-import org.jspecify.annotations.Nullable;
-import org.skylarkstack.configuration.EngineRole;
 import org.skylarkstack.configuration.ObjectKind;
 import org.skylarkstack.configuration.Team;
 import org.skylarkstack.configuration.Ticket;
 import org.skylarkstack.configuration.TicketChange;
-import org.skylarkstack.fleet.EnginePlan;
 import org.skylarkstack.fleet.FleetAnswer;
 import org.skylarkstack.fleet.FleetClient;
 import org.skylarkstack.fleet.FleetPlan;
 import org.skylarkstack.fleet.LocalFleet;
-import org.skylarkstack.fleet.VmPlan;
 import org.skylarkstack.misc.Hashes;
 import org.skylarkstack.standin.EngineStandIn;
 
@@ -41,15 +36,13 @@
  */
 public class RecoverySteps {
 
-	private static final String MODEL = "model";
+	private static final String MODEL = ScenarioFleet.MODEL;
 
 	private static final String KEY = "key-of-recovery";
 
-	private static final Duration READY_TIMEOUT = Duration.ofSeconds(20);
-
 	private final List<FleetAnswer> answers = new ArrayList<>();
 
-	private @Nullable LocalFleet fleet;
+	private final ScenarioFleet scenario = new ScenarioFleet();
 
 	/**
 	 * Starts a fleet of two VMs with one team.
@@ -58,32 +51,22 @@
 	 */
 	@Given("a fleet for recovery with {int} prefill engine(s) and {int} decode engine(s)")
 	public void startFleet(int prefills, int decodes) {
-		List<EnginePlan> engines = new ArrayList<>();
-		for (int engine = 0; engine < prefills + decodes; engine++) {
-			EngineRole role = (engine < prefills) ? EngineRole.PREFILL : EngineRole.DECODE;
-			engines.add(new EnginePlan("engine-" + engine, "dc-0", MODEL, role, 20, 64, 20_000, 5));
-		}
-		this.fleet = LocalFleet
-			.start(new FleetPlan(List.of(new VmPlan("vm-0", "dc-0"), new VmPlan("vm-1", "dc-0")), engines,
-					List.of(new Team("recovery", 100_000, 600_000, 1, null)), Map.of(KEY, "recovery"), "fair-queue"));
-		assertThat(client().submit("vm-0", fleet().firstTicket()).status()).isEqualTo(201);
-		assertThat(client().awaitReady(READY_TIMEOUT)).isAtLeast(0L);
+		this.scenario.start(new FleetPlan(ScenarioFleet.vms(2, 1), ScenarioFleet.engines(prefills, decodes, 1, 64, 5),
+				List.of(new Team("recovery", 100_000, 600_000, 1, null)), Map.of(KEY, "recovery"), "fair-queue"));
 	}
 
 	private LocalFleet fleet() {
-		return Objects.requireNonNull(this.fleet);
+		return this.scenario.fleet();
 	}
 
 	private FleetClient client() {
-		return new FleetClient(fleet());
+		return this.scenario.client();
 	}
 
 	/** Stops the fleet. */
 	@After
 	public void stopFleet() {
-		if (this.fleet != null) {
-			this.fleet.close();
-		}
+		this.scenario.close();
 	}
 
 	@When("engine {string} stops")
--- a/testsuite/src/test/java/org/skylarkstack/testsuite/TicketSteps.java
+++ b/testsuite/src/test/java/org/skylarkstack/testsuite/TicketSteps.java
@@ -23,7 +23,6 @@
 import org.skylarkstack.fleet.FleetClient;
 import org.skylarkstack.fleet.FleetPlan;
 import org.skylarkstack.fleet.LocalFleet;
-import org.skylarkstack.fleet.VmPlan;
 import org.skylarkstack.tool.Main;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -41,7 +40,7 @@
 
 	private final List<Integer> exitCodes = new ArrayList<>();
 
-	private @Nullable LocalFleet fleet;
+	private final ScenarioFleet scenario = new ScenarioFleet();
 
 	private @Nullable FleetAnswer lastTicket;
 
@@ -54,30 +53,22 @@
 	 */
 	@Given("a fleet of {int} VMs in {int} data centres that takes tickets")
 	public void startFleet(int vms, int dataCentres) {
-		List<VmPlan> plans = new ArrayList<>();
-		for (int vm = 0; vm < vms; vm++) {
-			plans.add(new VmPlan("vm-" + vm, "dc-" + vm % dataCentres));
-		}
-		this.fleet = LocalFleet.start(new FleetPlan(plans, List.of(),
+		this.scenario.start(new FleetPlan(ScenarioFleet.vms(vms, dataCentres), List.of(),
 				List.of(new Team("registers", 10_000, 60_000, 1, null)), Map.of(KEY, "registers"), "fair-queue"));
-		assertThat(client().submit("vm-0", fleet().firstTicket()).status()).isEqualTo(201);
-		assertThat(client().awaitReady(TIMEOUT)).isAtLeast(0L);
 	}
 
 	private LocalFleet fleet() {
-		return Objects.requireNonNull(this.fleet);
+		return this.scenario.fleet();
 	}
 
 	private FleetClient client() {
-		return new FleetClient(fleet());
+		return this.scenario.client();
 	}
 
 	/** Stops the fleet. */
 	@After
 	public void stopFleet() {
-		if (this.fleet != null) {
-			this.fleet.close();
-		}
+		this.scenario.close();
 	}
 
 	@When("operator {string} submits ticket {int} that adds team {string} through VM {int}")
