--- a/daemon/src/main/java/org/skylarkstack/daemon/DaemonMetrics.java
+++ b/daemon/src/main/java/org/skylarkstack/daemon/DaemonMetrics.java
@@ -5,11 +5,14 @@
 import org.skylarkstack.configuration.ConfigurationHolder;
 import org.skylarkstack.configuration.HeadEvidence;
 import org.skylarkstack.configuration.KeyFreshness;
+import org.skylarkstack.engine.HttpEngineClient;
 import org.skylarkstack.limit.LendingTeamLimiter;
 import org.skylarkstack.membership.Membership;
 import org.skylarkstack.metrics.RouterMetrics;
 import org.skylarkstack.misc.TimeSource;
 import org.skylarkstack.peer.TcpPeerTransport;
+import org.skylarkstack.request.ClaimRepairs;
+import org.skylarkstack.request.EngineCanceller;
 import org.skylarkstack.request.OpenRequests;
 import org.skylarkstack.request.RequestCounters;
 
@@ -26,7 +29,8 @@
 	@Inject
 	DaemonMetrics(RouterMetrics metrics, ConfigurationHolder configuration, KeyFreshness freshness,
 			Membership membership, LendingTeamLimiter limiter, TcpPeerTransport transport, OpenRequests openRequests,
-			RequestCounters requests, TimeSource time) {
+			RequestCounters requests, EngineCanceller canceller, HttpEngineClient engines, ClaimRepairs repairs,
+			TimeSource time) {
 		this.metrics = metrics;
 		metrics.gauge("skylark_ticket_applied", "Number up to which all tickets are in force.",
 				() -> configuration.current().appliedNumber());
@@ -42,6 +46,11 @@
 		metrics.counter("skylark_prefill_tokens_total", "Prompt tokens prefilled.", requests::prefillTokens);
 		metrics.counter("skylark_wasted_prefill_tokens_total", "Prompt tokens prefilled in vain.",
 				requests::wastedPrefillTokens);
+		metrics.counter("skylark_crossed_answers_total", "Late or crossed answers dropped.", engines::crossedAnswers);
+		metrics.counter("skylark_cancels_abandoned_total", "Cancels that no engine confirmed in time.",
+				canceller::abandoned);
+		metrics.counter("skylark_claim_repairs_dropped_total", "Claims left to expire because the store was down.",
+				repairs::dropped);
 		transport(transport);
 	}
 
--- a/daemon/src/main/java/org/skylarkstack/daemon/RequestModule.java
+++ b/daemon/src/main/java/org/skylarkstack/daemon/RequestModule.java
@@ -64,10 +64,16 @@
 
 	@Provides
 	@Singleton
-	static EngineClient engines(DaemonSettings settings, BackendClients clients) {
+	static HttpEngineClient httpEngines(DaemonSettings settings, BackendClients clients) {
 		return new HttpEngineClient(clients, settings.backendTimeouts());
 	}
 
+	@Provides
+	@Singleton
+	static EngineClient engines(HttpEngineClient engines) {
+		return engines;
+	}
+
 	@Provides
 	@Singleton
 	static RequestIds requestIds(DaemonSettings settings, Membership membership) {
--- a/runtime/src/main/java/org/skylarkstack/metrics/RouterMetrics.java
+++ b/runtime/src/main/java/org/skylarkstack/metrics/RouterMetrics.java
@@ -43,10 +43,6 @@
 
 	private final Counter teamRequests;
 
-	private final Counter tokens;
-
-	private final Counter recoveries;
-
 	private final Histogram firstToken;
 
 	private final Histogram tokenGap;
@@ -67,16 +63,6 @@
 			.help("Requests of a bounded set of teams by outcome.")
 			.labelNames("team", "outcome")
 			.register(this.registry);
-		this.tokens = Counter.builder()
-			.name("skylark_tokens_total")
-			.help("Prompt and output tokens served.")
-			.labelNames("kind")
-			.register(this.registry);
-		this.recoveries = Counter.builder()
-			.name("skylark_recoveries_total")
-			.help("Actions taken after a failure.")
-			.labelNames("action")
-			.register(this.registry);
 		this.firstToken = Histogram.builder()
 			.name("skylark_first_token_seconds")
 			.help("Time from the request to its first token.")
@@ -125,24 +111,6 @@
 		this.tokenGap.observe(nanos / NANOS_PER_SECOND);
 	}
 
-	/**
-	 * Counts served tokens.
-	 * @param promptTokens the prompt tokens
-	 * @param outputTokens the output tokens
-	 */
-	public void tokens(long promptTokens, long outputTokens) {
-		this.tokens.labelValues("prompt").inc(promptTokens);
-		this.tokens.labelValues("output").inc(outputTokens);
-	}
-
-	/**
-	 * Counts an action taken after a failure.
-	 * @param action the action
-	 */
-	public void recovery(RecoveryAction action) {
-		this.recoveries.labelValues(action.label()).inc();
-	}
-
 	/**
 	 * Publishes a value that is read at each scrape.
 	 * @param name the metric name
