--- a/bench/src/main/java/org/skylarkstack/fleet/FleetAnswer.java
+++ b/bench/src/main/java/org/skylarkstack/fleet/FleetAnswer.java
@@ -17,4 +17,12 @@
 		return this.status == 200 && this.body.endsWith("data: [DONE]\n\n");
 	}
 
+	/**
+	 * Returns whether the request was refused as not run for want of tokens.
+	 * @return whether it may be sent again
+	 */
+	public boolean isRateLimit() {
+		return this.status == 429 && this.verdict.equals("not-run");
+	}
+
 }
--- a/bench/src/main/java/org/skylarkstack/fleet/FleetClient.java
+++ b/bench/src/main/java/org/skylarkstack/fleet/FleetClient.java
@@ -25,6 +25,8 @@
 
 	private static final long POLL_MILLIS = 25;
 
+	private static final int MAX_RATE_LIMITS = 400;
+
 	private static final long NANOS_PER_MILLI = 1_000_000;
 
 	private final ObjectMapper mapper = new ObjectMapper();
@@ -144,6 +146,21 @@
 		return read(request, (source) -> source.readUtf8());
 	}
 
+	/**
+	 * Sends a request and repeats it while it is refused as not run for want of tokens.
+	 * Buckets of a new fleet start empty, and slices move to their owners.
+	 * @param request the request
+	 * @return the first answer that is no such refusal, or the last one
+	 */
+	public FleetAnswer sendUntilWithinRate(Request request) {
+		FleetAnswer answer = send(request);
+		for (int tries = 1; answer.isRateLimit() && tries < MAX_RATE_LIMITS; tries++) {
+			pause();
+			answer = send(request);
+		}
+		return answer;
+	}
+
 	/**
 	 * Sends a request, acts once the first line of its answer has arrived, and reads the
 	 * rest.
--- a/tool/src/main/java/org/skylarkstack/tool/DemoRequests.java
+++ b/tool/src/main/java/org/skylarkstack/tool/DemoRequests.java
@@ -81,7 +81,7 @@
 		long waited = this.client.awaitReady(IN_FORCE_TIMEOUT);
 		this.results.add(new DemoResult("ticket in force on all VMs", waited >= 0, "after " + waited + " ms"));
 		for (String vmId : this.fleet.vmIds()) {
-			FleetAnswer answer = sendUntilWithinRate(chat(vmId, CALLER_KEY, SUMMARY_TOKENS));
+			FleetAnswer answer = this.client.sendUntilWithinRate(chat(vmId, CALLER_KEY, SUMMARY_TOKENS));
 			add("streamed summary through " + vmId, answer.isWholeStream(), answer);
 		}
 		plainServices();
@@ -102,16 +102,6 @@
 		return this.client.chat(vmId, key, MODEL, PROMPT, tokens);
 	}
 
-	// Buckets start empty, so the first requests of a new fleet may be told to wait.
-	private FleetAnswer sendUntilWithinRate(Request request) {
-		FleetAnswer answer = this.client.send(request);
-		for (int tries = 1; answer.status() == 429 && tries < MAX_TRIES; tries++) {
-			pause();
-			answer = this.client.send(request);
-		}
-		return answer;
-	}
-
 	private static void pause() {
 		try {
 			Thread.sleep(RETRY_MILLIS);
