--- /dev/null
+++ b/gateway/src/main/java/org/skylarkstack/edge/BackendConnection.java
@@ -0,0 +1,175 @@
+package org.skylarkstack.edge;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import org.jspecify.annotations.Nullable;
+import org.skylarkstack.kernel.Verdict;
+
+/**
+ * Connection that carries one call of a backend server.
+ *
+ * <p>
+ * An answer counts as whole when its length, its last chunk, or, where it has neither, an
+ * orderly end of the connection says so. After a reset it never does. An answer that
+ * repeats another request's id belongs to nobody and is skipped.
+ */
+final class BackendConnection extends ChannelInboundHandlerAdapter implements BackendCall {
+
+	private final BackendRequest request;
+
+	private final BackendListener listener;
+
+	private @Nullable Channel channel;
+
+	private boolean sent;
+
+	private boolean headSeen;
+
+	private boolean skipping;
+
+	private boolean reset;
+
+	private boolean over;
+
+	BackendConnection(BackendRequest request, BackendListener listener) {
+		this.request = request;
+		this.listener = listener;
+	}
+
+	void attach(Channel opened) {
+		this.channel = opened;
+	}
+
+	void unreachable() {
+		fail(BackendFailure.Kind.UNREACHABLE);
+	}
+
+	@Override
+	public void channelActive(ChannelHandlerContext context) {
+		if (this.over) {
+			context.close();
+			return;
+		}
+		this.sent = true;
+		FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
+				HttpMethod.valueOf(this.request.method()), this.request.target(),
+				Unpooled.wrappedBuffer(this.request.body()), this.request.headers(), EmptyHttpHeaders.INSTANCE);
+		if (this.request.body().length > 0 || !"GET".equals(this.request.method())) {
+			HttpUtil.setContentLength(message, this.request.body().length);
+		}
+		context.writeAndFlush(message);
+	}
+
+	@Override
+	public void channelRead(ChannelHandlerContext context, Object message) {
+		try {
+			if (this.over) {
+				return;
+			}
+			if (message instanceof HttpResponse response) {
+				readHead(response);
+			}
+			if (!this.over && message instanceof HttpContent content) {
+				readContent(content);
+			}
+		}
+		finally {
+			ReferenceCountUtil.release(message);
+		}
+	}
+
+	private void readHead(HttpResponse response) {
+		if (response.decoderResult().isFailure()) {
+			fail(BackendFailure.Kind.MALFORMED);
+			return;
+		}
+		this.skipping = response.status().codeClass() == HttpStatusClass.INFORMATIONAL || isForeign(response);
+		if (!this.skipping) {
+			this.headSeen = true;
+			this.listener.head(response.status().code(), response.headers());
+		}
+	}
+
+	private boolean isForeign(HttpResponse response) {
+		String echo = this.request.echo();
+		if (echo == null) {
+			return false;
+		}
+		String theirs = response.headers().get(echo);
+		return theirs != null && !theirs.equals(this.request.headers().get(echo));
+	}
+
+	private void readContent(HttpContent content) {
+		if (content.decoderResult().isFailure()) {
+			fail(BackendFailure.Kind.MALFORMED);
+			return;
+		}
+		if (this.skipping || !this.headSeen || this.reset) {
+			return;
+		}
+		ByteBuf bytes = content.content();
+		if (bytes.isReadable()) {
+			byte[] part = new byte[bytes.readableBytes()];
+			bytes.readBytes(part);
+			this.listener.data(part);
+		}
+		if (!this.over && content instanceof LastHttpContent) {
+			this.over = true;
+			close();
+			this.listener.ended();
+		}
+	}
+
+	@Override
+	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		this.reset = true;
+		fail(BackendFailure.Kind.BROKEN);
+	}
+
+	@Override
+	public void channelInactive(ChannelHandlerContext context) {
+		fail(BackendFailure.Kind.BROKEN);
+	}
+
+	private void fail(BackendFailure.Kind kind) {
+		if (this.over) {
+			return;
+		}
+		this.over = true;
+		close();
+		this.listener.failed(new BackendFailure(kind, this.sent ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN));
+	}
+
+	private void close() {
+		Channel open = this.channel;
+		if (open != null) {
+			open.close();
+		}
+	}
+
+	@Override
+	public void cancel() {
+		this.over = true;
+		close();
+	}
+
+	@Override
+	public boolean sent() {
+		return this.sent;
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/skylarkstack/edge/CallerConnection.java
@@ -0,0 +1,367 @@
+package org.skylarkstack.edge;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.util.ReferenceCountUtil;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Connection of a caller. Requests are handled one after another; a pipelined request
+ * waits until the answer before it is written. A connection closes in two steps, so that
+ * an answer is not lost to a reset when the caller is still sending.
+ */
+final class CallerConnection extends ChannelInboundHandlerAdapter {
+
+	private static final int MAX_PIPELINED = 16;
+
+	private static final long LINGER_MILLIS = 500;
+
+	private static final long NANOS_PER_MILLI = 1_000_000;
+
+	private final EdgeServer server;
+
+	private final Deque<CallerRequest> pipelined = new ArrayDeque<>();
+
+	private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+
+	private @Nullable Channel channel;
+
+	private @Nullable HttpRequest head;
+
+	private @Nullable Exchange exchange;
+
+	private boolean broken;
+
+	private boolean partial;
+
+	private long partialSinceNanos;
+
+	private long idleSinceNanos = System.nanoTime();
+
+	CallerConnection(EdgeServer server) {
+		this.server = server;
+	}
+
+	ChannelInboundHandlerAdapter byteWatch() {
+		return new ByteWatch();
+	}
+
+	@Override
+	public void channelActive(ChannelHandlerContext context) {
+		this.channel = context.channel();
+		this.server.add(this);
+	}
+
+	@Override
+	public void channelInactive(ChannelHandlerContext context) {
+		this.broken = true;
+		this.pipelined.clear();
+		this.server.remove(this);
+		Exchange open = this.exchange;
+		if (open != null) {
+			open.gone();
+		}
+	}
+
+	@Override
+	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		// A reset by the caller; channelInactive follows and ends the open request.
+		context.close();
+	}
+
+	@Override
+	public void channelRead(ChannelHandlerContext context, Object message) {
+		try {
+			if (this.broken) {
+				return;
+			}
+			if (message instanceof HttpRequest request) {
+				begin(request);
+			}
+			if (message instanceof HttpContent content && this.head != null) {
+				append(content);
+			}
+		}
+		finally {
+			ReferenceCountUtil.release(message);
+		}
+	}
+
+	private void begin(HttpRequest request) {
+		if (request.decoderResult().isFailure()) {
+			int status = (request.decoderResult().cause() instanceof TooLongHttpHeaderException) ? 431 : 400;
+			reject(status, "the request head is malformed or too long");
+			return;
+		}
+		if (request.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)
+				&& request.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
+			reject(400, "content length and transfer encoding exclude each other");
+			return;
+		}
+		this.head = request;
+		this.body.reset();
+		if (HttpUtil.is100ContinueExpected(request)) {
+			channel().writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+		}
+	}
+
+	private void append(HttpContent content) {
+		if (content.decoderResult().isFailure()) {
+			reject(400, "the request body is malformed");
+			return;
+		}
+		ByteBuf bytes = content.content();
+		if (this.body.size() + bytes.readableBytes() > this.server.currentLimits().maxBodyBytes()) {
+			reject(413, "the request body is too large");
+			return;
+		}
+		byte[] part = new byte[bytes.readableBytes()];
+		bytes.readBytes(part);
+		this.body.writeBytes(part);
+		if (content instanceof LastHttpContent) {
+			complete();
+		}
+	}
+
+	private void complete() {
+		HttpRequest request = this.head;
+		this.head = null;
+		this.partial = false;
+		if (request == null) {
+			return;
+		}
+		CallerRequest whole = new CallerRequest(request.method().name(), request.uri(), request.headers(),
+				this.body.toByteArray(), HttpUtil.isKeepAlive(request));
+		if (this.exchange == null) {
+			dispatch(whole);
+		}
+		else if (this.pipelined.size() < MAX_PIPELINED) {
+			this.pipelined.add(whole);
+		}
+		else {
+			channel().close();
+		}
+	}
+
+	private void dispatch(CallerRequest request) {
+		Exchange opened = new Exchange(!request.keepAlive());
+		this.exchange = opened;
+		this.server.handler().handle(request, opened);
+	}
+
+	private void ended(boolean close) {
+		this.exchange = null;
+		this.idleSinceNanos = System.nanoTime();
+		if (close) {
+			closeGently();
+			return;
+		}
+		CallerRequest next = this.pipelined.poll();
+		if (next != null) {
+			dispatch(next);
+		}
+	}
+
+	private void reject(int status, String reason) {
+		this.broken = true;
+		if (this.exchange != null) {
+			// The answer before this request is not written yet; nothing may overtake it.
+			return;
+		}
+		FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+				HttpResponseStatus.valueOf(status),
+				Unpooled.wrappedBuffer((reason + "\n").getBytes(StandardCharsets.UTF_8)));
+		HttpUtil.setContentLength(response, response.content().readableBytes());
+		response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+		channel().writeAndFlush(response);
+		closeGently();
+	}
+
+	private void closeGently() {
+		this.broken = true;
+		Channel open = channel();
+		open.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener((future) -> {
+			if (open instanceof SocketChannel socket && open.isActive()) {
+				socket.shutdownOutput();
+			}
+		});
+		open.eventLoop().schedule(() -> open.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	void closeIfIdle() {
+		if (this.exchange == null && this.head == null && !this.partial) {
+			channel().close();
+		}
+	}
+
+	void expire(long nowNanos) {
+		if (this.exchange != null || this.broken) {
+			return;
+		}
+		EdgeLimits limits = this.server.currentLimits();
+		if (this.partial) {
+			if (nowNanos - this.partialSinceNanos > limits.headerTimeoutMillis() * NANOS_PER_MILLI) {
+				reject(408, "the request did not arrive in time");
+			}
+		}
+		else if (nowNanos - this.idleSinceNanos > limits.idleTimeoutMillis() * NANOS_PER_MILLI) {
+			channel().close();
+		}
+	}
+
+	private Channel channel() {
+		Channel open = this.channel;
+		if (open == null) {
+			throw new IllegalStateException("the connection is not active");
+		}
+		return open;
+	}
+
+	/**
+	 * Notes when the first byte of a request arrives, which the decoder does not tell.
+	 */
+	private final class ByteWatch extends ChannelInboundHandlerAdapter {
+
+		@Override
+		public void channelRead(ChannelHandlerContext context, Object message) {
+			if (!CallerConnection.this.partial) {
+				CallerConnection.this.partial = true;
+				CallerConnection.this.partialSinceNanos = System.nanoTime();
+			}
+			context.fireChannelRead(message);
+		}
+
+	}
+
+	/**
+	 * One request and its answer.
+	 */
+	private final class Exchange implements CallerAnswer {
+
+		private final boolean closeAfter;
+
+		private @Nullable Runnable goneAction;
+
+		private boolean gone;
+
+		private boolean done;
+
+		Exchange(boolean closeAfter) {
+			this.closeAfter = closeAfter;
+		}
+
+		@Override
+		public void send(int status, HttpHeaders headers, byte[] content) {
+			if (finished()) {
+				return;
+			}
+			this.done = true;
+			FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+					HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(content), headers.copy(),
+					EmptyHttpHeaders.INSTANCE);
+			HttpUtil.setContentLength(response, content.length);
+			boolean close = markClose(response);
+			channel().writeAndFlush(response);
+			ended(close);
+		}
+
+		@Override
+		public void start(int status, HttpHeaders headers) {
+			if (finished()) {
+				return;
+			}
+			HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status),
+					headers.copy());
+			HttpUtil.setTransferEncodingChunked(response, true);
+			markClose(response);
+			channel().writeAndFlush(response);
+		}
+
+		private boolean markClose(HttpResponse response) {
+			boolean close = this.closeAfter || CallerConnection.this.server.isClosing() || CallerConnection.this.broken;
+			if (close) {
+				response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+			}
+			return close;
+		}
+
+		@Override
+		public void write(byte[] part) {
+			if (!finished() && part.length > 0) {
+				channel().writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(part)));
+			}
+		}
+
+		@Override
+		public void finish() {
+			if (finished()) {
+				return;
+			}
+			this.done = true;
+			channel().writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+			ended(this.closeAfter || CallerConnection.this.server.isClosing() || CallerConnection.this.broken);
+		}
+
+		@Override
+		public void abort() {
+			if (finished()) {
+				return;
+			}
+			this.done = true;
+			CallerConnection.this.exchange = null;
+			channel().close().addListener(ChannelFutureListener.CLOSE);
+		}
+
+		@Override
+		public void onGone(Runnable action) {
+			if (this.gone) {
+				action.run();
+				return;
+			}
+			this.goneAction = action;
+		}
+
+		private boolean finished() {
+			return this.done || this.gone;
+		}
+
+		private void gone() {
+			Runnable action = this.goneAction;
+			if (!finished()) {
+				this.gone = true;
+				if (action != null) {
+					action.run();
+				}
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/skylarkstack/edge/EdgeServer.java
@@ -0,0 +1,140 @@
+package org.skylarkstack.edge;
+
+import java.net.InetSocketAddress;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpServerCodec;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Accepts callers' connections and hands whole requests to a handler. It reads while a
+ * request is handled, so that a caller that leaves is noticed at once. Confined to one
+ * event loop.
+ */
+public final class EdgeServer {
+
+	private static final int BACKLOG = 1_024;
+
+	private static final int MAX_REQUEST_LINE_BYTES = 8_192;
+
+	private static final long SWEEP_MILLIS = 250;
+
+	private final EventLoop loop;
+
+	private final CallerHandler handler;
+
+	private final Supplier<EdgeLimits> limits;
+
+	private final Set<CallerConnection> connections = new LinkedHashSet<>();
+
+	private @Nullable Channel listener;
+
+	private boolean closing;
+
+	/**
+	 * Creates a server.
+	 * @param loop the event loop that all its connections run on
+	 * @param handler takes the requests
+	 * @param limits the bounds in force
+	 */
+	public EdgeServer(EventLoop loop, CallerHandler handler, Supplier<EdgeLimits> limits) {
+		this.loop = loop;
+		this.handler = handler;
+		this.limits = limits;
+	}
+
+	/**
+	 * Starts to listen.
+	 * @param address the address
+	 * @param acceptors the group whose loop accepts connections
+	 */
+	public void listen(InetSocketAddress address, EventLoopGroup acceptors) {
+		this.listener = new ServerBootstrap().group(acceptors)
+			.channel(NioServerSocketChannel.class)
+			.option(ChannelOption.SO_BACKLOG, BACKLOG)
+			.option(ChannelOption.SO_REUSEADDR, true)
+			.childOption(ChannelOption.TCP_NODELAY, true)
+			.childHandler(new Initializer())
+			.bind(address)
+			.syncUninterruptibly()
+			.channel();
+		this.loop.scheduleWithFixedDelay(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	/**
+	 * Announces on all further answers that the connection ends.
+	 */
+	public void announceClose() {
+		this.closing = true;
+	}
+
+	/**
+	 * Stops accepting and closes connections without an open request.
+	 */
+	public void closeIdle() {
+		Channel open = this.listener;
+		if (open != null) {
+			open.close();
+		}
+		List.copyOf(this.connections).forEach(CallerConnection::closeIfIdle);
+	}
+
+	/**
+	 * Returns the number of open connections.
+	 * @return the number
+	 */
+	public int openConnections() {
+		return this.connections.size();
+	}
+
+	boolean isClosing() {
+		return this.closing;
+	}
+
+	EdgeLimits currentLimits() {
+		return this.limits.get();
+	}
+
+	CallerHandler handler() {
+		return this.handler;
+	}
+
+	void add(CallerConnection connection) {
+		this.connections.add(connection);
+	}
+
+	void remove(CallerConnection connection) {
+		this.connections.remove(connection);
+	}
+
+	private void sweep() {
+		long now = System.nanoTime();
+		List.copyOf(this.connections).forEach((connection) -> connection.expire(now));
+	}
+
+	private final class Initializer extends ChannelInitializer<SocketChannel> {
+
+		@Override
+		protected void initChannel(SocketChannel channel) {
+			CallerConnection connection = new CallerConnection(EdgeServer.this);
+			HttpDecoderConfig config = new HttpDecoderConfig().setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
+				.setMaxHeaderSize(currentLimits().maxHeaderBytes());
+			channel.pipeline().addLast(connection.byteWatch(), new HttpServerCodec(config), connection);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/skylarkstack/gateway/AnswerFacts.java
@@ -0,0 +1,22 @@
+package org.skylarkstack.gateway;
+
+/**
+ * What the head of a server's answer says.
+ *
+ * @param status the HTTP status
+ * @param notExecuted whether the server states that it did not run the request
+ * @param signed whether the answer carries the server's signature
+ * @param busy the requests running and waiting at the server, or a negative number if not
+ * reported
+ */
+public record AnswerFacts(int status, boolean notExecuted, boolean signed, int busy) {
+
+	/**
+	 * Returns whether the answer is a success.
+	 * @return whether the status is 2xx
+	 */
+	public boolean success() {
+		return this.status / 100 == 2;
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/skylarkstack/gateway/Attempt.java
@@ -0,0 +1,177 @@
+package org.skylarkstack.gateway;
+
+import java.io.ByteArrayOutputStream;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import org.jspecify.annotations.Nullable;
+import org.skylarkstack.edge.BackendFailure;
+import org.skylarkstack.edge.BackendListener;
+import org.skylarkstack.kernel.Verdict;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * One call of a backend server for a request. Keeps the books of the server's load and
+ * health, and logs how the call ended.
+ */
+abstract class Attempt implements BackendListener {
+
+	private static final Logger log = LoggerFactory.getLogger(Attempt.class);
+
+	private static final long NANOS_PER_MILLI = 1_000_000;
+
+	private final Exchange exchange;
+
+	private final String stage;
+
+	private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+
+	private final long startedNanos = System.nanoTime();
+
+	private @Nullable BackendState server;
+
+	private @Nullable AnswerFacts facts;
+
+	private HttpHeaders headers = new DefaultHttpHeaders();
+
+	private long tokens;
+
+	private boolean closed;
+
+	Attempt(Exchange exchange, String stage) {
+		this.exchange = exchange;
+		this.stage = stage;
+	}
+
+	final void bind(BackendState target, long occupiedTokens) {
+		this.server = target;
+		this.tokens = occupiedTokens;
+		target.opened(occupiedTokens, this.startedNanos);
+	}
+
+	final BackendState server() {
+		BackendState bound = this.server;
+		if (bound == null) {
+			throw new IllegalStateException("the attempt is not sent");
+		}
+		return bound;
+	}
+
+	final AnswerFacts facts() {
+		AnswerFacts known = this.facts;
+		if (known == null) {
+			throw new IllegalStateException("the answer has no head yet");
+		}
+		return known;
+	}
+
+	final HttpHeaders headers() {
+		return this.headers;
+	}
+
+	final byte[] body() {
+		return this.body.toByteArray();
+	}
+
+	@Override
+	public final void head(int status, HttpHeaders received) {
+		this.headers = received;
+		this.facts = this.exchange.parts().dialect().answer(status, received);
+		if (this.facts.busy() >= 0) {
+			server().reported(this.facts.busy(), System.nanoTime());
+		}
+		if (!this.exchange.over()) {
+			began();
+		}
+	}
+
+	/**
+	 * Returns whether the request runs at the server, rather than being prepared.
+	 * @return whether the attempt may run the request
+	 */
+	boolean runs() {
+		return true;
+	}
+
+	/** The head of the answer is there. */
+	void began() {
+	}
+
+	@Override
+	public void data(byte[] part) {
+		this.body.writeBytes(part);
+	}
+
+	@Override
+	public final void ended() {
+		if (close()) {
+			log("status-" + facts().status());
+			if (!this.exchange.over()) {
+				this.exchange.clearBound();
+				answered(facts());
+			}
+		}
+	}
+
+	@Override
+	public final void failed(BackendFailure failure) {
+		if (close()) {
+			log(failure.kind().name());
+			server().failed(System.nanoTime());
+			if (!this.exchange.over()) {
+				this.exchange.clearBound();
+				broke(failure);
+			}
+		}
+	}
+
+	final void expire() {
+		if (!this.closed && !this.exchange.over()) {
+			Verdict verdict = (runs() && this.exchange.callSent()) ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN;
+			this.exchange.cancelCall();
+			failed(new BackendFailure(BackendFailure.Kind.SILENT, verdict));
+		}
+	}
+
+	/**
+	 * Ends the books of this attempt.
+	 * @return whether they were still open
+	 */
+	final boolean close() {
+		if (this.closed) {
+			return false;
+		}
+		this.closed = true;
+		server().closed(this.tokens);
+		return true;
+	}
+
+	/**
+	 * The answer is whole.
+	 * @param answer what its head said
+	 */
+	abstract void answered(AnswerFacts answer);
+
+	/**
+	 * The call failed.
+	 * @param failure why
+	 */
+	abstract void broke(BackendFailure failure);
+
+	private void log(String outcome) {
+		this.exchange.parts().metrics().attempt(this.stage, outcome);
+		log.atInfo()
+			.addKeyValue("event", "attempt-ended")
+			.addKeyValue("id", this.exchange.context().facts().requestId())
+			.addKeyValue("stage", this.stage)
+			.addKeyValue("server", server().node().id())
+			.addKeyValue("address", server().node().address())
+			.addKeyValue("outcome", outcome)
+			.addKeyValue("notExecuted", this.facts != null && this.facts.notExecuted())
+			.addKeyValue("load", "%.1f".formatted(server().load(System.nanoTime())))
+			.addKeyValue("ms", (System.nanoTime() - this.startedNanos) / NANOS_PER_MILLI)
+			.log();
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/skylarkstack/gateway/EngineChooser.java
@@ -0,0 +1,66 @@
+package org.skylarkstack.gateway;
+
+import java.util.List;
+import java.util.random.RandomGenerator;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Chooses the model engine of a request: the one with the least estimated tokens for its
+ * memory, with a small preference for a data centre and a penalty for recent failures.
+ *
+ * <p>
+ * Answers the load pattern of prompts of very different lengths: the tokens, not the
+ * number of requests, decide how long an engine is busy.
+ */
+public final class EngineChooser {
+
+	private static final double REMOTE_PENALTY = 0.02;
+
+	private static final double FAILURE_PENALTY = 1.0;
+
+	private static final double AVOID_PENALTY = 1_000;
+
+	private static final double JITTER = 0.01;
+
+	private final RandomGenerator random;
+
+	/**
+	 * Creates a chooser.
+	 * @param random the source of randomness
+	 */
+	public EngineChooser(RandomGenerator random) {
+		this.random = random;
+	}
+
+	/**
+	 * Chooses an engine.
+	 * @param candidates the engines that may be used
+	 * @param profile the profile of the engines
+	 * @param tokens the tokens of the request
+	 * @param dataCentre the preferred data centre
+	 * @param nowNanos the present time
+	 * @return the engine, or {@code null} if there is none
+	 */
+	public @Nullable BackendState choose(List<BackendState> candidates, EngineProfile profile, long tokens,
+			String dataCentre, long nowNanos) {
+		BackendState best = null;
+		double bestCost = Double.MAX_VALUE;
+		for (BackendState candidate : candidates) {
+			double cost = occupancy(candidate, profile, tokens, nowNanos) + FAILURE_PENALTY * candidate.failureShare()
+					+ (candidate.node().dataCentre().equals(dataCentre) ? 0 : REMOTE_PENALTY)
+					+ (candidate.avoided(nowNanos) ? AVOID_PENALTY : 0) + JITTER * this.random.nextDouble();
+			if (cost < bestCost) {
+				best = candidate;
+				bestCost = cost;
+			}
+		}
+		return best;
+	}
+
+	private static double occupancy(BackendState candidate, EngineProfile profile, long tokens, long nowNanos) {
+		double others = candidate.othersLoad(nowNanos) * tokens;
+		return (candidate.openTokens() + tokens + others) / Math.max(1, profile.kvTokens());
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/skylarkstack/gateway/Gateway.java
@@ -0,0 +1,126 @@
+package org.skylarkstack.gateway;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import org.jspecify.annotations.Nullable;
+import org.skylarkstack.edge.CallerAnswer;
+import org.skylarkstack.edge.CallerHandler;
+import org.skylarkstack.edge.CallerRequest;
+import org.skylarkstack.kernel.ErrorType;
+import org.skylarkstack.kernel.RouterException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Admits callers' requests: route, key, limit. What is admitted goes on as an exchange
+ * with a backend server.
+ */
+public final class Gateway implements CallerHandler {
+
+	private static final Logger log = LoggerFactory.getLogger(Gateway.class);
+
+	private static final Duration RETRY_WHEN_FRESH = Duration.ofSeconds(1);
+
+	private static final long MILLIS_PER_SECOND = 1_000;
+
+	private final GatewayParts parts;
+
+	private final OpenExchanges open;
+
+	/**
+	 * Creates a gateway.
+	 * @param parts the shared parts
+	 * @param open the exchanges that are open
+	 */
+	public Gateway(GatewayParts parts, OpenExchanges open) {
+		this.parts = parts;
+		this.open = open;
+	}
+
+	@Override
+	public void handle(CallerRequest request, CallerAnswer answer) {
+		RequestFacts facts = this.parts.dialect().facts(request);
+		long now = System.nanoTime();
+		try {
+			admit(request, facts, answer, now);
+		}
+		catch (RouterException ex) {
+			this.parts.metrics().request("none", ex.type().httpStatus(), ex.type().code());
+			log.atInfo()
+				.addKeyValue("event", "request-refused")
+				.addKeyValue("id", facts.requestId())
+				.addKeyValue("path", request.path())
+				.addKeyValue("code", ex.type().code())
+				.addKeyValue("status", ex.type().httpStatus())
+				.addKeyValue("why", ex.getMessage())
+				.addKeyValue("version", version())
+				.addKeyValue("keyAgeMs", this.parts.state().freshness().ageMillis(now, System.currentTimeMillis()))
+				.log();
+			refuse(this.parts, facts, answer, ex);
+		}
+	}
+
+	private long version() {
+		RoutingTable table = this.parts.state().routing();
+		return (table != null) ? table.version() : 0;
+	}
+
+	private void admit(CallerRequest request, RequestFacts facts, CallerAnswer answer, long now) {
+		RoutingTable table = this.parts.state().routing();
+		if (table == null) {
+			throw RouterException.retryAfter(ErrorType.NOT_READY, RETRY_WHEN_FRESH);
+		}
+		ServiceRoute route = table.route(facts.host(), request.path());
+		if (route == null) {
+			throw new RouterException(ErrorType.NO_ROUTE, request.method(), request.path());
+		}
+		TeamPolicy team = team(table, route, facts, now);
+		String service = route.pickService(this.parts.random());
+		ServicePolicy policy = (service != null) ? table.service(service) : null;
+		if (policy == null) {
+			throw RouterException.retryAfter(ErrorType.NO_ENGINE, RETRY_WHEN_FRESH, route.name());
+		}
+		if (team != null) {
+			long waitNanos = this.parts.limits().tryTake(team, team.cost(facts.statedTokens()), now);
+			if (waitNanos > 0) {
+				throw RouterException.retryAfter(ErrorType.RATE_LIMITED, Duration.ofNanos(waitNanos), team.name());
+			}
+		}
+		this.parts.retries().request(policy.name(), now);
+		ExchangeContext context = new ExchangeContext(request, facts, route, team, policy, table.version(), now);
+		Exchange exchange = (route.kind() == RouteKind.STREAM && policy.engine() != null)
+				? new StreamExchange(this.parts, context, answer, this.open, policy.engine())
+				: new ServiceExchange(this.parts, context, answer, this.open);
+		exchange.start();
+	}
+
+	private @Nullable TeamPolicy team(RoutingTable table, ServiceRoute route, RequestFacts facts, long now) {
+		if (table.teams().isEmpty() || route.open()) {
+			return null;
+		}
+		if (!this.parts.state().freshness().fresh(now, System.currentTimeMillis())) {
+			throw RouterException.retryAfter(ErrorType.STALE_KEY_STATE, RETRY_WHEN_FRESH, "any");
+		}
+		String key = facts.key();
+		TeamPolicy team = (key != null) ? table.team(key) : null;
+		if (team == null) {
+			throw new RouterException(ErrorType.UNAUTHENTICATED);
+		}
+		return team;
+	}
+
+	static void refuse(GatewayParts parts, RequestFacts facts, CallerAnswer answer, RouterException failure) {
+		HttpHeaders headers = parts.dialect().ownAnswer(facts.requestId());
+		Duration retryAfter = failure.retryAfter();
+		if (retryAfter != null) {
+			headers.set(HttpHeaderNames.RETRY_AFTER,
+					"%.3f".formatted((double) retryAfter.toMillis() / MILLIS_PER_SECOND));
+		}
+		answer.send(failure.type().httpStatus(), headers,
+				("%d %s%n".formatted(failure.type().code(), failure.getMessage())).getBytes(StandardCharsets.UTF_8));
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/skylarkstack/gateway/GatewayMetrics.java
@@ -0,0 +1,99 @@
+package org.skylarkstack.gateway;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+
+/**
+ * Counters and latency histograms of a gateway daemon.
+ */
+public final class GatewayMetrics {
+
+	private static final double NANOS_PER_SECOND = 1e9;
+
+	private final PrometheusRegistry registry = new PrometheusRegistry();
+
+	private final Counter requests = Counter.builder()
+		.name("skylarkstack_gateway_requests")
+		.help("Requests of callers by route kind, status and error code")
+		.labelNames("kind", "status", "code")
+		.register(this.registry);
+
+	private final Counter attempts = Counter.builder()
+		.name("skylarkstack_gateway_attempts")
+		.help("Attempts at backend servers by stage and outcome")
+		.labelNames("stage", "outcome")
+		.register(this.registry);
+
+	private final Counter storeCalls = Counter.builder()
+		.name("skylarkstack_gateway_store_calls")
+		.help("Calls of the platform's store by call and outcome")
+		.labelNames("call", "outcome")
+		.register(this.registry);
+
+	private final Histogram seconds = Histogram.builder()
+		.name("skylarkstack_gateway_first_byte_seconds")
+		.help("Time from a whole request to the first byte of its answer")
+		.labelNames("kind")
+		.classicUpperBounds(0.05, 0.1, 0.2, 0.4, 0.6, 0.9, 1.5, 3, 6, 14)
+		.classicOnly()
+		.register(this.registry);
+
+	/**
+	 * Counts a request.
+	 * @param kind the kind of its route, or {@code none}
+	 * @param status the HTTP status that the caller got, or 0 if it got none
+	 * @param code the number of the error, or 0
+	 */
+	public void request(String kind, int status, int code) {
+		this.requests.labelValues(kind, String.valueOf(status), String.valueOf(code)).inc();
+	}
+
+	/**
+	 * Counts an attempt.
+	 * @param stage the stage
+	 * @param outcome how it ended
+	 */
+	public void attempt(String stage, String outcome) {
+		this.attempts.labelValues(stage, outcome).inc();
+	}
+
+	/**
+	 * Counts a call of the store.
+	 * @param call the call
+	 * @param outcome how it ended
+	 */
+	public void storeCall(String call, String outcome) {
+		this.storeCalls.labelValues(call, outcome).inc();
+	}
+
+	/**
+	 * Records when the first byte of an answer was sent.
+	 * @param kind the kind of the route
+	 * @param nanos the time since the request was whole
+	 */
+	public void firstByte(String kind, long nanos) {
+		this.seconds.labelValues(kind).observe(nanos / NANOS_PER_SECOND);
+	}
+
+	/**
+	 * Writes all metrics.
+	 * @return the metrics in the text format
+	 */
+	public byte[] text() {
+		ByteArrayOutputStream out = new ByteArrayOutputStream();
+		try {
+			new PrometheusTextFormatWriter(false).write(out, this.registry.scrape());
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+		return out.toByteArray();
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/skylarkstack/gateway/GatewayParts.java
@@ -0,0 +1,26 @@
+package org.skylarkstack.gateway;
+
+import java.util.random.RandomGenerator;
+
+import io.netty.channel.EventLoop;
+import org.skylarkstack.edge.BackendCaller;
+
+/**
+ * Parts that all requests of a daemon share.
+ *
+ * @param loop the event loop that everything runs on
+ * @param state what the daemon believes
+ * @param dialect the platform's names and formats
+ * @param caller calls backend servers
+ * @param services chooses servers of plain services
+ * @param engines chooses model engines
+ * @param retries bounds further attempts
+ * @param limits bounds what teams use
+ * @param metrics counts what happens
+ * @param random the source of randomness
+ */
+public record GatewayParts(EventLoop loop, GatewayState state, WireDialect dialect, BackendCaller caller,
+		BackendChooser services, EngineChooser engines, RetryAllowance retries, TeamLimits limits,
+		GatewayMetrics metrics, RandomGenerator random) {
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/skylarkstack/gateway/RoutingTable.java
@@ -0,0 +1,110 @@
+package org.skylarkstack.gateway;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+
+import org.jspecify.annotations.Nullable;
+import org.skylarkstack.edge.EdgeLimits;
+
+/**
+ * One version of the configuration, prepared for look-ups. Immutable.
+ */
+public final class RoutingTable {
+
+	private final long version;
+
+	private final Map<String, List<ServiceRoute>> routesByHost = new HashMap<>();
+
+	private final Map<String, ServicePolicy> services = new HashMap<>();
+
+	private final Map<String, TeamPolicy> teamsByKey = new HashMap<>();
+
+	private final List<TeamPolicy> teams;
+
+	private final EdgeLimits limits;
+
+	/**
+	 * Creates a table.
+	 * @param version the version of the configuration
+	 * @param routes the routes
+	 * @param services the services
+	 * @param teams the teams; if there are none, no request needs a key
+	 * @param limits the bounds on callers
+	 */
+	public RoutingTable(long version, List<ServiceRoute> routes, List<ServicePolicy> services, List<TeamPolicy> teams,
+			EdgeLimits limits) {
+		this.version = version;
+		this.teams = List.copyOf(teams);
+		this.limits = limits;
+		routes.forEach(
+				(route) -> this.routesByHost.computeIfAbsent(route.host(), (host) -> new ArrayList<>()).add(route));
+		this.routesByHost.values()
+			.forEach((list) -> list.sort(Comparator.comparingInt((ServiceRoute route) -> -route.prefix().length())));
+		services.forEach((service) -> this.services.put(service.name(), service));
+		teams.forEach((team) -> team.keys().forEach((key) -> this.teamsByKey.put(key, team)));
+	}
+
+	/**
+	 * Finds the route of a request: the longest matching prefix of its host.
+	 * @param host the host as sent, possibly with a port
+	 * @param path the path
+	 * @return the route, or {@code null} if none matches
+	 */
+	public @Nullable ServiceRoute route(String host, String path) {
+		int port = host.lastIndexOf(':');
+		String name = ((port < 0) ? host : host.substring(0, port)).toLowerCase(Locale.ROOT);
+		for (ServiceRoute route : this.routesByHost.getOrDefault(name, List.of())) {
+			if (path.startsWith(route.prefix())) {
+				return route;
+			}
+		}
+		return null;
+	}
+
+	/**
+	 * Finds the team that holds a key.
+	 * @param key the key
+	 * @return the team, or {@code null} if the key is unknown or withdrawn
+	 */
+	public @Nullable TeamPolicy team(String key) {
+		return this.teamsByKey.get(key);
+	}
+
+	/**
+	 * Finds a service.
+	 * @param name the name
+	 * @return the service, or {@code null} if it is not configured
+	 */
+	public @Nullable ServicePolicy service(String name) {
+		return this.services.get(name);
+	}
+
+	/**
+	 * Returns the teams.
+	 * @return the teams; empty if no request needs a key
+	 */
+	public List<TeamPolicy> teams() {
+		return this.teams;
+	}
+
+	/**
+	 * Returns the version.
+	 * @return the version of the configuration
+	 */
+	public long version() {
+		return this.version;
+	}
+
+	/**
+	 * Returns the bounds on callers.
+	 * @return the bounds
+	 */
+	public EdgeLimits limits() {
+		return this.limits;
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/skylarkstack/gateway/ServiceExchange.java
@@ -0,0 +1,119 @@
+package org.skylarkstack.gateway;
+
+import java.util.List;
+
+import org.jspecify.annotations.Nullable;
+import org.skylarkstack.edge.BackendFailure;
+import org.skylarkstack.edge.CallerAnswer;
+import org.skylarkstack.kernel.Verdict;
+
+/**
+ * Request to a plain service. The answer is read whole before the caller gets a byte, so
+ * that a broken one can be asked for again where the route allows it.
+ */
+final class ServiceExchange extends Exchange {
+
+	// Part of the time left that one attempt may take while another may follow.
+	private static final double ATTEMPT_SHARE = 0.5;
+
+	ServiceExchange(GatewayParts parts, ExchangeContext context, CallerAnswer answer, OpenExchanges open) {
+		super(parts, context, answer, open);
+	}
+
+	@Override
+	void begin() {
+		attempt(null);
+	}
+
+	private void attempt(@Nullable BackendFailure last) {
+		long now = System.nanoTime();
+		List<BackendState> candidates = parts().state()
+			.backends()
+			.candidates(context().service().name(), Stage.NONE, (node) -> tried().contains(node.id()));
+		BackendState target = parts().services().choose(candidates, now);
+		if (target == null) {
+			giveUp(last);
+			return;
+		}
+		long remaining = context().remainingMillis(now);
+		boolean another = context().route().repeatable() && attempts() + 1 < context().route().maxAttempts();
+		CallPlan plan = new CallPlan(target.node().id(), remaining, context().teamName(), context().priority(), false,
+				null, context().facts().lastEventId());
+		PlainAttempt attempt = new PlainAttempt(this);
+		send(target, plan, 0, another ? (long) (ATTEMPT_SHARE * remaining) : 0, attempt);
+	}
+
+	private void relay(PlainAttempt attempt, AnswerFacts facts) {
+		effect(Verdict.RAN);
+		if (finish(facts.status(), 0)) {
+			parts().metrics().firstByte(context().route().kind().name(), System.nanoTime() - context().arrivedNanos());
+			answer().send(facts.status(), parts().dialect().relayed(attempt.headers()), attempt.body());
+		}
+	}
+
+	/**
+	 * Attempt at one server.
+	 */
+	private static final class PlainAttempt extends Attempt {
+
+		private static final int SERVER_ERROR = 500;
+
+		private final ServiceExchange exchange;
+
+		PlainAttempt(ServiceExchange exchange) {
+			super(exchange, "service");
+			this.exchange = exchange;
+		}
+
+		@Override
+		void answered(AnswerFacts facts) {
+			this.exchange.countAttempt();
+			if (facts.notExecuted()) {
+				again(null);
+				return;
+			}
+			this.exchange.effect(Verdict.MAY_HAVE_RUN);
+			if (!facts.signed()) {
+				server().failed(System.nanoTime());
+				again(new BackendFailure(BackendFailure.Kind.MALFORMED, Verdict.MAY_HAVE_RUN));
+				return;
+			}
+			if (facts.status() < SERVER_ERROR) {
+				server().succeeded();
+				this.exchange.relay(this, facts);
+			}
+			else if (this.exchange.mayRetry(true)) {
+				this.exchange.attempt(null);
+			}
+			else {
+				this.exchange.relay(this, facts);
+			}
+		}
+
+		@Override
+		void broke(BackendFailure failure) {
+			this.exchange.effect(failure.verdict());
+			boolean counted = failure.kind() != BackendFailure.Kind.UNREACHABLE;
+			if (counted) {
+				this.exchange.countAttempt();
+			}
+			if (this.exchange.mayRetry(counted)) {
+				this.exchange.attempt(failure);
+			}
+			else {
+				this.exchange.giveUp(failure);
+			}
+		}
+
+		private void again(@Nullable BackendFailure failure) {
+			if (this.exchange.mayRetry(true)) {
+				this.exchange.attempt(failure);
+			}
+			else {
+				this.exchange.giveUp(failure);
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/skylarkstack/gateway/StreamExchange.java
@@ -0,0 +1,311 @@
+package org.skylarkstack.gateway;
+
+import java.util.List;
+
+import org.jspecify.annotations.Nullable;
+import org.skylarkstack.edge.BackendFailure;
+import org.skylarkstack.edge.BackendListener;
+import org.skylarkstack.edge.CallerAnswer;
+import org.skylarkstack.kernel.Verdict;
+
+/**
+ * Request whose answer a model engine streams.
+ *
+ * <p>
+ * A prefill engine processes the prompt, a decode engine fetches the result and
+ * generates. Without a prefill engine the decode engine does both. Whole events go to the
+ * caller as they come. Where the route allows it, a stream that breaks is resumed at
+ * another engine behind the last event that the caller has; otherwise the caller's
+ * connection is broken, so that the answer cannot look complete. A prefill result that no
+ * engine took is released.
+ */
+final class StreamExchange extends Exchange {
+
+	// Part of the time for which an engine keeps a prefill result in which it may be
+	// used.
+	private static final double HANDLE_SHARE = 0.7;
+
+	private static final int MAX_PREFILLS = 2;
+
+	// Longest time until an engine has processed a prompt, while another may be tried.
+	private static final long PREFILL_BOUND_MILLIS = 4_000;
+
+	private static final long DECODE_BOUND_MILLIS = 4_000;
+
+	private static final long NANOS_PER_MILLI = 1_000_000;
+
+	private final EngineProfile profile;
+
+	private final EventBuffer events = new EventBuffer();
+
+	private CallPlan.@Nullable KvSource source;
+
+	private String prefillDataCentre = "";
+
+	private long sourceNanos;
+
+	private int prefills;
+
+	private boolean started;
+
+	StreamExchange(GatewayParts parts, ExchangeContext context, CallerAnswer answer, OpenExchanges open,
+			EngineProfile profile) {
+		super(parts, context, answer, open);
+		this.profile = profile;
+	}
+
+	@Override
+	void begin() {
+		prefill();
+	}
+
+	@Override
+	void release() {
+		CallPlan.KvSource held = this.source;
+		if (held != null) {
+			this.source = null;
+			parts().caller().call(parts().dialect().encodeRelease(held), new Ignored());
+		}
+	}
+
+	@Override
+	boolean breakOff() {
+		if (this.started) {
+			answer().abort();
+		}
+		return this.started;
+	}
+
+	private @Nullable BackendState choose(Stage stage, String dataCentre, long now) {
+		List<BackendState> candidates = parts().state()
+			.backends()
+			.candidates(context().service().name(), stage, (node) -> tried().contains(node.id()));
+		return parts().engines().choose(candidates, this.profile, context().tokens(), dataCentre, now);
+	}
+
+	private void prefill() {
+		long now = System.nanoTime();
+		BackendState engine = (this.prefills < MAX_PREFILLS) ? choose(Stage.PREFILL, parts().state().dataCentre(), now)
+				: null;
+		if (engine == null) {
+			decode(null);
+			return;
+		}
+		this.prefills++;
+		Attempt attempt = new PrefillAttempt();
+		send(engine, plan(engine, true, null, now), context().tokens(), PREFILL_BOUND_MILLIS, attempt);
+	}
+
+	private CallPlan plan(BackendState engine, boolean prefillOnly, CallPlan.@Nullable KvSource from, long now) {
+		String last = (this.events.lastEventId() != null) ? this.events.lastEventId() : context().facts().lastEventId();
+		return new CallPlan(engine.node().id(), context().remainingMillis(now), context().teamName(),
+				context().priority(), prefillOnly, from, last);
+	}
+
+	private void decode(@Nullable BackendFailure last) {
+		long now = System.nanoTime();
+		if (this.source != null
+				&& now - this.sourceNanos > HANDLE_SHARE * this.profile.handleMillis() * NANOS_PER_MILLI) {
+			release();
+		}
+		BackendState engine = choose(Stage.DECODE,
+				this.prefillDataCentre.isEmpty() ? parts().state().dataCentre() : this.prefillDataCentre, now);
+		if (engine == null) {
+			giveUp(last);
+			return;
+		}
+		Attempt attempt = new DecodeAttempt(this.source);
+		send(engine, plan(engine, false, this.source, now), context().tokens(), DECODE_BOUND_MILLIS, attempt);
+	}
+
+	private void retry(@Nullable BackendFailure failure, boolean counted) {
+		if (mayRetry(counted)) {
+			decode(failure);
+		}
+		else {
+			giveUp(failure);
+		}
+	}
+
+	/**
+	 * Processing of the prompt.
+	 */
+	private final class PrefillAttempt extends Attempt {
+
+		PrefillAttempt() {
+			super(StreamExchange.this, "prefill");
+		}
+
+		@Override
+		boolean runs() {
+			return false;
+		}
+
+		@Override
+		void answered(AnswerFacts facts) {
+			String handle = facts.success() ? parts().dialect().prefillHandle(body()) : null;
+			if (handle == null) {
+				if (!facts.notExecuted()) {
+					server().failed(System.nanoTime());
+				}
+				next(true);
+				return;
+			}
+			server().succeeded();
+			StreamExchange.this.source = new CallPlan.KvSource(server().node().address(), handle);
+			StreamExchange.this.sourceNanos = System.nanoTime();
+			StreamExchange.this.prefillDataCentre = server().node().dataCentre();
+			decode(null);
+		}
+
+		@Override
+		void broke(BackendFailure failure) {
+			next(failure.kind() != BackendFailure.Kind.UNREACHABLE);
+		}
+
+		private void next(boolean counted) {
+			if (counted && !parts().retries().tryTake(context().service().name(), System.nanoTime())) {
+				giveUp(null);
+				return;
+			}
+			prefill();
+		}
+
+	}
+
+	/**
+	 * Generation of the answer.
+	 */
+	private final class DecodeAttempt extends Attempt {
+
+		private final CallPlan.@Nullable KvSource from;
+
+		DecodeAttempt(CallPlan.@Nullable KvSource from) {
+			super(StreamExchange.this, "decode");
+			this.from = from;
+		}
+
+		@Override
+		void began() {
+			if (!facts().success() || !facts().signed()) {
+				return;
+			}
+			clearBound();
+			effect(Verdict.MAY_HAVE_RUN);
+			StreamExchange.this.source = null;
+			if (!StreamExchange.this.started) {
+				StreamExchange.this.started = true;
+				parts().metrics()
+					.firstByte(context().route().kind().name(), System.nanoTime() - context().arrivedNanos());
+				answer().start(facts().status(), parts().dialect().relayed(headers()));
+			}
+		}
+
+		@Override
+		public void data(byte[] part) {
+			if (over()) {
+				return;
+			}
+			if (facts().success() && facts().signed()) {
+				answer().write(StreamExchange.this.events.take(part));
+			}
+			else {
+				super.data(part);
+			}
+		}
+
+		@Override
+		void answered(AnswerFacts facts) {
+			countAttempt();
+			if (facts.notExecuted()) {
+				refused();
+			}
+			else if (!facts.signed()) {
+				effect(Verdict.MAY_HAVE_RUN);
+				server().failed(System.nanoTime());
+				retry(new BackendFailure(BackendFailure.Kind.MALFORMED, Verdict.MAY_HAVE_RUN), true);
+			}
+			else if (!facts.success()) {
+				failedByEngine(facts);
+			}
+			else if (StreamExchange.this.events.hasPartial()) {
+				brokeMidway(new BackendFailure(BackendFailure.Kind.MALFORMED, Verdict.MAY_HAVE_RUN));
+			}
+			else {
+				effect(Verdict.RAN);
+				server().succeeded();
+				if (finish(facts.status(), 0)) {
+					answer().finish();
+				}
+			}
+		}
+
+		private void refused() {
+			retry(null, true);
+		}
+
+		private void failedByEngine(AnswerFacts facts) {
+			effect(Verdict.MAY_HAVE_RUN);
+			server().failed(System.nanoTime());
+			if (mayRetry(true)) {
+				decode(null);
+			}
+			else if (!StreamExchange.this.started && finish(facts.status(), 0)) {
+				release();
+				answer().send(facts.status(), parts().dialect().relayed(headers()), body());
+			}
+			else {
+				giveUp(null);
+			}
+		}
+
+		@Override
+		void broke(BackendFailure failure) {
+			boolean counted = failure.kind() != BackendFailure.Kind.UNREACHABLE;
+			if (counted) {
+				countAttempt();
+			}
+			effect(failure.verdict());
+			if (counted && this.from != null) {
+				// The engine may have taken the prefill result; it cannot be used again.
+				StreamExchange.this.source = null;
+			}
+			brokeMidway(failure, counted);
+		}
+
+		private void brokeMidway(BackendFailure failure) {
+			brokeMidway(failure, true);
+		}
+
+		private void brokeMidway(BackendFailure failure, boolean counted) {
+			StreamExchange.this.events.dropPartial();
+			retry(failure, counted);
+		}
+
+	}
+
+	/**
+	 * Listener of a call whose outcome changes nothing.
+	 */
+	private static final class Ignored implements BackendListener {
+
+		@Override
+		public void head(int status, io.netty.handler.codec.http.HttpHeaders headers) {
+		}
+
+		@Override
+		public void data(byte[] part) {
+		}
+
+		@Override
+		public void ended() {
+		}
+
+		@Override
+		public void failed(BackendFailure failure) {
+			// The engine frees the result itself when its time is over.
+		}
+
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/skylarkstack/logs/BoundedAppender.java
@@ -0,0 +1,120 @@
+package org.skylarkstack.logs;
+
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.atomic.AtomicLong;
+
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.classic.spi.IThrowableProxy;
+import ch.qos.logback.core.AppenderBase;
+import org.slf4j.event.KeyValuePair;
+
+/**
+ * Appender that hands lines to a thread of its own. When that thread falls behind, lines
+ * are dropped and counted, and the count is written as soon as there is room.
+ */
+public final class BoundedAppender extends AppenderBase<ILoggingEvent> {
+
+	private static final int MAX_WAITING_LINES = 2_048;
+
+	// Lines that come within this time are written together.
+	private static final long GATHER_MILLIS = 100;
+
+	private final BlockingQueue<String> waiting = new ArrayBlockingQueue<>(MAX_WAITING_LINES);
+
+	private final AtomicLong dropped = new AtomicLong();
+
+	private final PrintStream out;
+
+	/**
+	 * Creates an appender.
+	 * @param out where the lines go
+	 */
+	public BoundedAppender(PrintStream out) {
+		this.out = out;
+	}
+
+	@Override
+	public void start() {
+		super.start();
+		Thread writer = new Thread(this::write, "log-writer");
+		writer.setDaemon(true);
+		writer.start();
+	}
+
+	@Override
+	protected void append(ILoggingEvent event) {
+		if (!this.waiting.offer(format(event))) {
+			this.dropped.incrementAndGet();
+		}
+	}
+
+	private static String format(ILoggingEvent event) {
+		StringBuilder line = new StringBuilder(160);
+		line.append("time=").append(Instant.ofEpochMilli(event.getTimeStamp()));
+		line.append(" level=").append(event.getLevel());
+		List<KeyValuePair> pairs = event.getKeyValuePairs();
+		if (pairs != null) {
+			pairs.forEach((pair) -> append(line, pair.key, String.valueOf(pair.value)));
+		}
+		String message = event.getFormattedMessage();
+		if (message != null && !message.isEmpty()) {
+			append(line, "msg", message);
+		}
+		for (IThrowableProxy cause = event.getThrowableProxy(); cause != null; cause = cause.getCause()) {
+			append(line, "error", cause.getClassName() + ": " + cause.getMessage());
+		}
+		return line.append('\n').toString();
+	}
+
+	private static void append(StringBuilder line, String key, String value) {
+		line.append(' ').append(key).append('=');
+		boolean plain = !value.isEmpty() && value.chars().allMatch((c) -> c > ' ' && c != '"' && c != '=');
+		if (plain) {
+			line.append(value);
+		}
+		else {
+			line.append('"').append(value.replace("\"", "'").replace('\n', ' ')).append('"');
+		}
+	}
+
+	private void write() {
+		List<String> lines = new ArrayList<>();
+		try {
+			while (true) {
+				lines.add(this.waiting.take());
+				Thread.sleep(GATHER_MILLIS);
+				writeWaiting(lines);
+			}
+		}
+		catch (InterruptedException ex) {
+			writeWaiting(lines);
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private synchronized void writeWaiting(List<String> lines) {
+		this.waiting.drainTo(lines);
+		long lost = this.dropped.getAndSet(0);
+		if (lost > 0) {
+			lines.add("level=WARN event=log-lines-dropped count=" + lost + "\n");
+		}
+		byte[] bytes = String.join("", lines).getBytes(StandardCharsets.UTF_8);
+		this.out.write(bytes, 0, bytes.length);
+		this.out.flush();
+		lines.clear();
+	}
+
+	/** Writes what waits. Called once before the process ends. */
+	@Override
+	public void stop() {
+		super.stop();
+		writeWaiting(new ArrayList<>());
+	}
+
+}
