Forecast engine memory; repeat server errors only at faulty servers

Change: peak forecast over own and peers' requests; errors are repeated only when the server errs more than its peers; small requests may use a reserve of the limit.

--- a/gateway/src/main/java/org/skylarkstack/gateway/Attempt.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/Attempt.java
@@ -35,8 +35,6 @@
 
 	private HttpHeaders headers = new DefaultHttpHeaders();
 
-	private long tokens;
-
 	private boolean closed;
 
 	Attempt(Exchange exchange, String stage) {
@@ -44,10 +42,9 @@
 		this.stage = stage;
 	}
 
-	final void bind(BackendState target, long occupiedTokens) {
+	final void bind(BackendState target) {
 		this.server = target;
-		this.tokens = occupiedTokens;
-		target.opened(occupiedTokens, this.startedNanos);
+		target.opened(this.startedNanos);
 	}
 
 	final BackendState server() {
@@ -143,7 +140,7 @@
 			return false;
 		}
 		this.closed = true;
-		server().closed(this.tokens);
+		server().closed();
 		return true;
 	}
 
--- a/gateway/src/main/java/org/skylarkstack/gateway/BackendState.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/BackendState.java
@@ -1,5 +1,11 @@
 package org.skylarkstack.gateway;
 
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+
+import org.skylarkstack.peers.EngineRun;
+
 /**
  * What this daemon has learnt about one life of a backend server.
  *
@@ -26,7 +32,7 @@
 
 	private int open;
 
-	private long openTokens;
+	private final Set<EngineUse> uses = new LinkedHashSet<>();
 
 	private double othersLoad;
 
@@ -34,6 +40,8 @@
 
 	private double failureShare;
 
+	private double errorShare;
+
 	private int failuresInRow;
 
 	private long avoidUntilNanos;
@@ -62,12 +70,10 @@
 
 	/**
 	 * Notes that a request was sent.
-	 * @param tokens the tokens that it occupies
 	 * @param nowNanos the present time
 	 */
-	public void opened(long tokens, long nowNanos) {
+	public void opened(long nowNanos) {
 		this.open++;
-		this.openTokens += tokens;
 		if (this.failuresInRow > 0 && nowNanos - this.avoidUntilNanos >= 0) {
 			this.trialOpen = true;
 		}
@@ -75,14 +81,28 @@
 
 	/**
 	 * Notes that a request is no longer open.
-	 * @param tokens the tokens that it occupied
 	 */
-	public void closed(long tokens) {
+	public void closed() {
 		this.open--;
-		this.openTokens -= tokens;
 		this.trialOpen = false;
 	}
 
+	/**
+	 * Notes whether an answer was an error of the server.
+	 * @param error whether it was
+	 */
+	public void answered(boolean error) {
+		this.errorShare += SMOOTHING * ((error ? 1 : 0) - this.errorShare);
+	}
+
+	/**
+	 * Returns the smoothed share of answers that were errors of the server.
+	 * @return the share, 0 to 1
+	 */
+	public double errorShare() {
+		return this.errorShare;
+	}
+
 	/** Notes that a request was answered as it should be. */
 	public void succeeded() {
 		this.failuresInRow = 0;
@@ -101,11 +121,27 @@
 	}
 
 	/**
-	 * Takes tokens for a request that will be sent.
-	 * @param tokens the tokens; negative to give them back
+	 * Takes memory for a request that will be sent.
+	 * @param use the memory
+	 */
+	void reserve(EngineUse use) {
+		this.uses.add(use);
+	}
+
+	/**
+	 * Gives memory back.
+	 * @param use the memory
+	 */
+	void unreserve(EngineUse use) {
+		this.uses.remove(use);
+	}
+
+	/**
+	 * Returns what the requests of this daemon occupy.
+	 * @return the memory of each request
 	 */
-	public void reserve(long tokens) {
-		this.openTokens += tokens;
+	public List<EngineRun> runs() {
+		return this.uses.stream().map(EngineUse::run).toList();
 	}
 
 	/**
@@ -169,7 +205,7 @@
 	 * @return the tokens
 	 */
 	public long openTokens() {
-		return this.openTokens;
+		return runs().stream().mapToLong(EngineRun::tokens).sum();
 	}
 
 	/**
--- a/gateway/src/main/java/org/skylarkstack/gateway/EngineChooser.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/EngineChooser.java
@@ -4,6 +4,7 @@
 import java.util.random.RandomGenerator;
 
 import org.jspecify.annotations.Nullable;
+import org.skylarkstack.peers.EngineRun;
 import org.skylarkstack.peers.PeerUsage;
 
 /**
@@ -64,7 +65,10 @@
 	}
 
 	private double occupancy(BackendState candidate, EngineProfile profile, long tokens, long nowNanos) {
-		long others = this.peers.tokensOfPeers(candidate.node().id(), nowNanos);
+		long others = this.peers.runsOfPeers(candidate.node().id(), nowNanos)
+			.stream()
+			.mapToLong(EngineRun::tokens)
+			.sum();
 		return (double) (candidate.openTokens() + tokens + others) / Math.max(1, profile.kvTokens());
 	}
 
--- a/gateway/src/main/java/org/skylarkstack/gateway/EngineRoom.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/EngineRoom.java
@@ -1,8 +1,10 @@
 package org.skylarkstack.gateway;
 
+import java.util.ArrayList;
 import java.util.List;
 
 import org.jspecify.annotations.Nullable;
+import org.skylarkstack.peers.EngineRun;
 import org.skylarkstack.peers.PeerUsage;
 
 /**
@@ -13,7 +15,7 @@
 final class EngineRoom {
 
 	// Answers differ from their expected lengths; the rest of the memory absorbs that.
-	private static final double FILL = 0.92;
+	private static final double FILL = 0.95;
 
 	private static final double REMOTE_PENALTY = 0.02;
 
@@ -32,11 +34,11 @@
 	 * Finds the engine with the most room.
 	 * @param candidates the engines that may be used
 	 * @param profile the profile of the engines
-	 * @param tokens the tokens of the request
+	 * @param memory the memory of the request
 	 * @param nowNanos the present time
 	 * @return the engine, or {@code null} if the request fits nowhere
 	 */
-	@Nullable BackendState find(List<BackendState> candidates, EngineProfile profile, long tokens, long nowNanos) {
+	@Nullable BackendState find(List<BackendState> candidates, EngineProfile profile, EngineRun memory, long nowNanos) {
 		boolean anyHealthy = candidates.stream().anyMatch((candidate) -> !candidate.avoided(nowNanos));
 		BackendState best = null;
 		double bestCost = Double.MAX_VALUE;
@@ -44,11 +46,15 @@
 			if (candidate.full(nowNanos) || (anyHealthy && candidate.avoided(nowNanos))) {
 				continue;
 			}
-			long occupied = candidate.openTokens() + this.peers.tokensOfPeers(candidate.node().id(), nowNanos);
-			if (occupied > 0 && occupied + tokens > FILL * profile.kvTokens()) {
+			List<EngineRun> runs = new ArrayList<>(candidate.runs());
+			runs.addAll(this.peers.runsOfPeers(candidate.node().id(), nowNanos));
+			boolean empty = runs.isEmpty();
+			runs.add(memory);
+			double peak = (double) MemoryForecast.peak(runs) / profile.kvTokens();
+			if (!empty && (peak > FILL || runs.size() > profile.slots())) {
 				continue;
 			}
-			double cost = (double) occupied / profile.kvTokens() + FAILURE_PENALTY * candidate.failureShare()
+			double cost = peak + FAILURE_PENALTY * candidate.failureShare()
 					+ (candidate.node().dataCentre().equals(this.dataCentre) ? 0 : REMOTE_PENALTY);
 			if (cost < bestCost) {
 				best = candidate;
--- a/gateway/src/main/java/org/skylarkstack/gateway/Exchange.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/Exchange.java
@@ -146,15 +146,14 @@
 	 * Sends an attempt.
 	 * @param target the server
 	 * @param plan how it is sent
-	 * @param tokens the tokens that it occupies
 	 * @param boundMillis the bound of the attempt in milliseconds, or 0 for none
 	 * @param next learns what comes of it
 	 */
-	final void send(BackendState target, CallPlan plan, long tokens, long boundMillis, Attempt next) {
+	final void send(BackendState target, CallPlan plan, long boundMillis, Attempt next) {
 		this.backend = target;
 		this.attempt = next;
 		this.tried.add(target.node().id());
-		next.bind(target, tokens);
+		next.bind(target);
 		this.call = this.parts.caller()
 			.call(this.parts.dialect().encode(target.node().address(), this.context.request(), plan), next);
 		if (boundMillis > 0) {
--- a/gateway/src/main/java/org/skylarkstack/gateway/RequestFacts.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/RequestFacts.java
@@ -20,14 +20,13 @@
 		long outputTokens, long expectedOutputTokens, @Nullable String lastEventId) {
 
 	/**
-	 * Returns the memory that the request occupies at an engine, on average over its run:
-	 * the prompt, and half of the answer, which grows from nothing.
+	 * Returns the output tokens to expect: the caller's estimate, otherwise half of the
+	 * bound.
 	 * @return the tokens
 	 */
-	public long averageTokens() {
-		long output = (this.expectedOutputTokens >= 0) ? Math.min(this.expectedOutputTokens, this.outputTokens)
+	public long likelyOutputTokens() {
+		return (this.expectedOutputTokens >= 0) ? Math.min(this.expectedOutputTokens, this.outputTokens)
 				: this.outputTokens / 2;
-		return Math.max(1, this.promptTokens + output / 2);
 	}
 
 	/**
--- a/gateway/src/main/java/org/skylarkstack/gateway/ServiceExchange.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/ServiceExchange.java
@@ -16,6 +16,10 @@
 	// Part of the time left that one attempt may take while another may follow.
 	private static final double ATTEMPT_SHARE = 0.5;
 
+	private static final double FAULTY_FACTOR = 1.5;
+
+	private static final double FAULTY_MARGIN = 0.2;
+
 	ServiceExchange(GatewayParts parts, ExchangeContext context, CallerAnswer answer, OpenExchanges open) {
 		super(parts, context, answer, open);
 	}
@@ -40,7 +44,21 @@
 		CallPlan plan = new CallPlan(target.node().id(), remaining, context().teamName(), context().priority(), false,
 				null, context().facts().lastEventId());
 		PlainAttempt attempt = new PlainAttempt(this);
-		send(target, plan, 0, another ? (long) (ATTEMPT_SHARE * remaining) : 0, attempt);
+		send(target, plan, another ? (long) (ATTEMPT_SHARE * remaining) : 0, attempt);
+	}
+
+	// An error that the request itself causes comes from every server alike; only an
+	// error
+	// of a faulty server is worth another attempt.
+	private boolean errsMoreThanOthers(BackendState server) {
+		double others = parts().state()
+			.backends()
+			.candidates(context().service().name(), Stage.NONE, (node) -> node.id().equals(server.node().id()))
+			.stream()
+			.mapToDouble(BackendState::errorShare)
+			.average()
+			.orElse(1);
+		return server.errorShare() > FAULTY_FACTOR * others + FAULTY_MARGIN;
 	}
 
 	private void relay(PlainAttempt attempt, AnswerFacts facts) {
@@ -78,11 +96,12 @@
 				again(new BackendFailure(BackendFailure.Kind.MALFORMED, Verdict.MAY_HAVE_RUN));
 				return;
 			}
+			server().answered(facts.status() >= SERVER_ERROR);
 			if (facts.status() < SERVER_ERROR) {
 				server().succeeded();
 				this.exchange.relay(this, facts);
 			}
-			else if (this.exchange.mayRetry(true)) {
+			else if (this.exchange.errsMoreThanOthers(server()) && this.exchange.mayRetry(true)) {
 				this.exchange.attempt(null);
 			}
 			else {
--- a/gateway/src/main/java/org/skylarkstack/gateway/StreamAdmission.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/StreamAdmission.java
@@ -2,10 +2,12 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.EventLoop;
 import org.jspecify.annotations.Nullable;
+import org.skylarkstack.peers.EngineRun;
 import org.skylarkstack.peers.PeerUsage;
 
 /**
@@ -63,9 +65,9 @@
 		return (queue != null) ? queue.size() : 0;
 	}
 
-	@Nullable BackendState find(String service, EngineProfile profile, java.util.Set<String> tried, long tokens) {
+	@Nullable BackendState find(String service, EngineProfile profile, Set<String> tried, EngineRun memory) {
 		return this.room.find(this.backends.candidates(service, Stage.DECODE, (node) -> tried.contains(node.id())),
-				profile, tokens, System.nanoTime());
+				profile, memory, System.nanoTime());
 	}
 
 	/** Moves the queues on. */
@@ -82,7 +84,7 @@
 				entry.getValue()
 					.advance((stream) -> this.room.find(
 							this.backends.candidates(entry.getKey(), Stage.DECODE, (node) -> false), profile,
-							stream.tokens(), now), now);
+							stream.memory(), now), now);
 				anyWaiting |= entry.getValue().size() > 0;
 			}
 		}
--- a/gateway/src/main/java/org/skylarkstack/gateway/StreamExchange.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/StreamExchange.java
@@ -7,6 +7,7 @@
 import org.skylarkstack.edge.BackendListener;
 import org.skylarkstack.edge.CallerAnswer;
 import org.skylarkstack.kernel.Verdict;
+import org.skylarkstack.peers.EngineRun;
 
 /**
  * Request whose answer a model engine streams.
@@ -45,10 +46,16 @@
 
 	private final EventBuffer events = new EventBuffer();
 
+	private final EngineUse use;
+
+	private final EngineUse promptUse;
+
 	private CallPlan.@Nullable KvSource source;
 
 	private @Nullable BackendState reserved;
 
+	private @Nullable BackendState prefillEngine;
+
 	private long sourceNanos;
 
 	private int prefills;
@@ -59,6 +66,9 @@
 			EngineProfile profile) {
 		super(parts, context, answer, open);
 		this.profile = profile;
+		RequestFacts facts = context.facts();
+		this.use = new EngineUse(Math.max(1, facts.promptTokens()), facts.likelyOutputTokens(), facts.outputTokens());
+		this.promptUse = new EngineUse(Math.max(1, facts.promptTokens()), 0, 0);
 	}
 
 	@Override
@@ -67,8 +77,8 @@
 	}
 
 	@Override
-	public long tokens() {
-		return context().facts().averageTokens();
+	public EngineRun memory() {
+		return this.use.run();
 	}
 
 	@Override
@@ -105,14 +115,22 @@
 	private void reserve(BackendState engine) {
 		unreserve();
 		this.reserved = engine;
-		engine.reserve(tokens());
+		engine.reserve(this.use);
 	}
 
 	private void unreserve() {
 		BackendState engine = this.reserved;
 		if (engine != null) {
 			this.reserved = null;
-			engine.reserve(-tokens());
+			engine.unreserve(this.use);
+		}
+	}
+
+	private void endPrefill() {
+		BackendState engine = this.prefillEngine;
+		if (engine != null) {
+			this.prefillEngine = null;
+			engine.unreserve(this.promptUse);
 		}
 	}
 
@@ -120,6 +138,7 @@
 	void ended() {
 		parts().admission().remove(context().service(), this);
 		unreserve();
+		endPrefill();
 		parts().loop().execute(parts().admission()::advance);
 	}
 
@@ -150,8 +169,9 @@
 			return;
 		}
 		this.prefills++;
-		send(engine, plan(engine, true, null, now), context().facts().promptTokens(), PREFILL_BOUND_MILLIS,
-				new PrefillAttempt());
+		this.prefillEngine = engine;
+		engine.reserve(this.promptUse);
+		send(engine, plan(engine, true, null, now), PREFILL_BOUND_MILLIS, new PrefillAttempt());
 	}
 
 	private @Nullable BackendState choosePrefill(String dataCentre, long now) {
@@ -175,14 +195,14 @@
 		}
 		BackendState engine = this.reserved;
 		if (engine == null || tried().contains(engine.node().id())) {
-			engine = parts().admission().find(context().service().name(), this.profile, tried(), tokens());
+			engine = parts().admission().find(context().service().name(), this.profile, tried(), memory());
 		}
 		if (engine == null) {
 			giveUp(last);
 			return;
 		}
 		reserve(engine);
-		send(engine, plan(engine, false, this.source, now), 0, DECODE_BOUND_MILLIS, new DecodeAttempt(this.source));
+		send(engine, plan(engine, false, this.source, now), DECODE_BOUND_MILLIS, new DecodeAttempt(this.source));
 	}
 
 	private void retry(@Nullable BackendFailure failure, boolean counted) {
@@ -210,6 +230,7 @@
 
 		@Override
 		void answered(AnswerFacts facts) {
+			endPrefill();
 			String handle = facts.success() ? parts().dialect().prefillHandle(body()) : null;
 			if (handle == null) {
 				if (!facts.notExecuted()) {
@@ -226,6 +247,7 @@
 
 		@Override
 		void broke(BackendFailure failure) {
+			endPrefill();
 			next(failure.kind() != BackendFailure.Kind.UNREACHABLE);
 		}
 
@@ -274,6 +296,8 @@
 			}
 			if (facts().success() && facts().signed()) {
 				answer().write(StreamExchange.this.events.take(part));
+				StreamExchange.this.use
+					.generated(StreamExchange.this.events.events() * StreamExchange.this.profile.tokensPerEvent());
 			}
 			else {
 				super.data(part);
--- a/gateway/src/main/java/org/skylarkstack/gateway/TeamLimits.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/TeamLimits.java
@@ -22,9 +22,16 @@
 public final class TeamLimits {
 
 	// Part of the tolerance that is used; the rest covers reports that are under way.
-	private static final double TOLERANCE_SHARE = 0.5;
+	private static final double TOLERANCE_SHARE = 0.7;
 
-	private static final double SLACK_SHARE = 0.25;
+	private static final double SLACK_SHARE = 0.5;
+
+	// Part of the slack that only small requests may use: a plain request must not be
+	// refused because a long prompt has just emptied the bucket.
+	private static final double SMALL_SHARE = 0.1;
+
+	// A request is small if it needs less than one part in so many of that.
+	private static final double SMALL_PARTS = 10;
 
 	private static final double NANOS_PER_SECOND = 1e9;
 
@@ -67,7 +74,8 @@
 		Bucket bucket = this.buckets.computeIfAbsent(team.name(),
 				(name) -> new Bucket(this.startFull ? capacity : 0, this.peers.unitsFromPeers(name), nowNanos));
 		bucket.advance(rate, capacity, this.peers.unitsFromPeers(team.name()), nowNanos);
-		if (bucket.level >= units) {
+		double reserve = SMALL_SHARE * this.slack * share;
+		if (bucket.level + ((units < reserve / SMALL_PARTS) ? reserve : 0) >= units) {
 			bucket.level -= units;
 			bucket.taken += (long) units;
 			return 0;
--- a/gateway/src/main/java/org/skylarkstack/gateway/WaitingStream.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/WaitingStream.java
@@ -1,15 +1,17 @@
 package org.skylarkstack.gateway;
 
+import org.skylarkstack.peers.EngineRun;
+
 /**
  * Stream request that waits for room at an engine.
  */
 interface WaitingStream {
 
 	/**
-	 * Returns the tokens that it will occupy.
-	 * @return the tokens
+	 * Returns the memory that it will occupy.
+	 * @return the memory
 	 */
-	long tokens();
+	EngineRun memory();
 
 	/**
 	 * Returns its rank.
--- a/gateway/src/main/java/org/skylarkstack/peers/PeerUsage.java
+++ b/gateway/src/main/java/org/skylarkstack/peers/PeerUsage.java
@@ -1,6 +1,8 @@
 package org.skylarkstack.peers;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -61,19 +63,19 @@
 	}
 
 	/**
-	 * Returns the tokens that peers occupy at an engine.
+	 * Returns what the requests of peers occupy at an engine.
 	 * @param engine the engine
 	 * @param nowNanos the present time
-	 * @return the tokens, by the reports that are fresh
+	 * @return the memory of each request, by the reports that are fresh
 	 */
-	public long tokensOfPeers(String engine, long nowNanos) {
-		long tokens = 0;
+	public List<EngineRun> runsOfPeers(String engine, long nowNanos) {
+		List<EngineRun> runs = new ArrayList<>();
 		for (Received received : this.reports.values()) {
 			if (nowNanos - received.nanos < FRESH_NANOS) {
-				tokens += received.report.tokensByEngine().getOrDefault(engine, 0L);
+				runs.addAll(received.report.runsByEngine().getOrDefault(engine, List.of()));
 			}
 		}
-		return tokens;
+		return runs;
 	}
 
 	/**
--- a/gateway/src/main/java/org/skylarkstack/peers/UsageCodec.java
+++ b/gateway/src/main/java/org/skylarkstack/peers/UsageCodec.java
@@ -2,7 +2,9 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 import org.jspecify.annotations.Nullable;
@@ -28,7 +30,7 @@
 			packer.packLong(report.incarnation());
 			packer.packLong(report.number());
 			pack(packer, report.unitsByTeam());
-			pack(packer, report.tokensByEngine());
+			packRuns(packer, report.runsByEngine());
 			return packer.toByteArray();
 		}
 		catch (IOException ex) {
@@ -44,6 +46,18 @@
 		}
 	}
 
+	private static void packRuns(MessageBufferPacker packer, Map<String, List<EngineRun>> runs) throws IOException {
+		packer.packMapHeader(runs.size());
+		for (Map.Entry<String, List<EngineRun>> entry : runs.entrySet()) {
+			packer.packString(entry.getKey());
+			packer.packArrayHeader(entry.getValue().size());
+			for (EngineRun run : entry.getValue()) {
+				packer.packLong(run.tokens());
+				packer.packLong(run.remaining());
+			}
+		}
+	}
+
 	/**
 	 * Decodes a report.
 	 * @param bytes the datagram
@@ -55,7 +69,7 @@
 				return null;
 			}
 			return new UsageReport(unpacker.unpackString(), unpacker.unpackLong(), unpacker.unpackLong(),
-					unpack(unpacker), unpack(unpacker));
+					unpack(unpacker), unpackRuns(unpacker));
 		}
 		catch (IOException | MessagePackException ex) {
 			// Anyone can send a datagram; the link counts what is not understood.
@@ -72,4 +86,19 @@
 		return values;
 	}
 
+	private static Map<String, List<EngineRun>> unpackRuns(MessageUnpacker unpacker) throws IOException {
+		int size = unpacker.unpackMapHeader();
+		Map<String, List<EngineRun>> runs = new HashMap<>();
+		for (int entry = 0; entry < size; entry++) {
+			String engine = unpacker.unpackString();
+			int count = unpacker.unpackArrayHeader();
+			List<EngineRun> list = new ArrayList<>();
+			for (int run = 0; run < count; run++) {
+				list.add(new EngineRun(unpacker.unpackLong(), unpacker.unpackLong()));
+			}
+			runs.put(engine, list);
+		}
+		return runs;
+	}
+
 }
--- a/gateway/src/main/java/org/skylarkstack/peers/UsageReport.java
+++ b/gateway/src/main/java/org/skylarkstack/peers/UsageReport.java
@@ -1,5 +1,6 @@
 package org.skylarkstack.peers;
 
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -10,17 +11,17 @@
  * @param incarnation identifies this start of the sender
  * @param number grows with each report of the incarnation
  * @param unitsByTeam the units that each team took at the sender since it started
- * @param tokensByEngine the tokens that the sender occupies at each engine
+ * @param runsByEngine the memory of each of the sender's requests at each engine
  */
 public record UsageReport(String vmId, long incarnation, long number, Map<String, Long> unitsByTeam,
-		Map<String, Long> tokensByEngine) {
+		Map<String, List<EngineRun>> runsByEngine) {
 
 	/**
 	 * Creates a report.
 	 */
 	public UsageReport {
 		unitsByTeam = Map.copyOf(unitsByTeam);
-		tokensByEngine = Map.copyOf(tokensByEngine);
+		runsByEngine = Map.copyOf(runsByEngine);
 	}
 
 }
