--- a/gateway/src/main/java/org/skylarkstack/gateway/Exchange.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/Exchange.java
@@ -72,6 +72,22 @@
 	/** Sends the first attempt. */
 	abstract void begin();
 
+	/**
+	 * Returns the events that the caller got.
+	 * @return the number of events
+	 */
+	long events() {
+		return 0;
+	}
+
+	/**
+	 * Returns the last event that the caller got.
+	 * @return the event's identifier, or {@code null}
+	 */
+	@Nullable String lastEvent() {
+		return null;
+	}
+
 	/** Tidies up when the request has ended. */
 	void ended() {
 	}
@@ -265,6 +281,9 @@
 			.addKeyValue("team", this.context.teamName())
 			.addKeyValue("promptTokens", this.context.facts().promptTokens())
 			.addKeyValue("outputTokens", this.context.facts().outputTokens())
+			.addKeyValue("expectedTokens", this.context.facts().expectedOutputTokens())
+			.addKeyValue("events", events())
+			.addKeyValue("lastEvent", lastEvent())
 			.addKeyValue("status", status)
 			.addKeyValue("code", code)
 			.addKeyValue("verdict", this.verdict.headerValue())
--- a/gateway/src/main/java/org/skylarkstack/gateway/StreamExchange.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/StreamExchange.java
@@ -134,6 +134,16 @@
 		}
 	}
 
+	@Override
+	long events() {
+		return this.events.events();
+	}
+
+	@Override
+	@Nullable String lastEvent() {
+		return this.events.lastEventId();
+	}
+
 	@Override
 	void ended() {
 		parts().admission().remove(context().service(), this);
