--- a/gateway/src/main/java/org/skylarkstack/gateway/EngineUse.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/EngineUse.java
@@ -9,7 +9,7 @@
 final class EngineUse {
 
 	// A request that has outgrown its estimate is expected to grow by this share more.
-	private static final double OUTGROWN_SHARE = 0.25;
+	private static final double OUTGROWN_SHARE = 0.35;
 
 	private final long promptTokens;
 
--- a/gateway/src/main/java/org/skylarkstack/gateway/RequestFacts.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/RequestFacts.java
@@ -19,16 +19,6 @@
 public record RequestFacts(String requestId, String host, @Nullable String key, long timeoutMillis, long promptTokens,
 		long outputTokens, long expectedOutputTokens, @Nullable String lastEventId) {
 
-	/**
-	 * Returns the output tokens to expect: the caller's estimate, otherwise half of the
-	 * bound.
-	 * @return the tokens
-	 */
-	public long likelyOutputTokens() {
-		return (this.expectedOutputTokens >= 0) ? Math.min(this.expectedOutputTokens, this.outputTokens)
-				: this.outputTokens / 2;
-	}
-
 	/**
 	 * Returns the tokens that the request states.
 	 * @return prompt and output tokens, or a negative number if not stated
--- a/gateway/src/main/java/org/skylarkstack/gateway/StreamAdmission.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/StreamAdmission.java
@@ -26,6 +26,8 @@
 
 	private final EngineRoom room;
 
+	private final AnswerLengths lengths = new AnswerLengths();
+
 	private final Map<String, StreamQueue> queues = new HashMap<>();
 
 	private final Map<String, EngineProfile> profiles = new HashMap<>();
@@ -60,6 +62,10 @@
 		}
 	}
 
+	AnswerLengths lengths() {
+		return this.lengths;
+	}
+
 	int waiting(ServicePolicy service) {
 		StreamQueue queue = this.queues.get(service.name());
 		return (queue != null) ? queue.size() : 0;
--- a/gateway/src/main/java/org/skylarkstack/gateway/StreamExchange.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/StreamExchange.java
@@ -67,7 +67,8 @@
 		super(parts, context, answer, open);
 		this.profile = profile;
 		RequestFacts facts = context.facts();
-		this.use = new EngineUse(Math.max(1, facts.promptTokens()), facts.likelyOutputTokens(), facts.outputTokens());
+		this.use = new EngineUse(Math.max(1, facts.promptTokens()),
+				parts.admission().lengths().expected(context.route().name(), facts), facts.outputTokens());
 		this.promptUse = new EngineUse(Math.max(1, facts.promptTokens()), 0, 0);
 	}
 
@@ -334,6 +335,10 @@
 			else {
 				effect(Verdict.RAN);
 				server().succeeded();
+				parts().admission()
+					.lengths()
+					.answered(context().route().name(),
+							StreamExchange.this.events.events() * StreamExchange.this.profile.tokensPerEvent());
 				if (finish(facts.status(), 0)) {
 					answer().finish();
 				}
