Move idle prefill engines to decoding, one daemon at a time

Change: pool meter, role policy, claims in the store with fencing numbers, orders sent at once after the claim or not at all.

--- a/gateway/src/main/java/org/skylarkstack/gateway/EngineRoom.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/EngineRoom.java
@@ -43,7 +43,8 @@
 		BackendState best = null;
 		double bestCost = Double.MAX_VALUE;
 		for (BackendState candidate : candidates) {
-			if (candidate.full(nowNanos) || (anyHealthy && candidate.avoided(nowNanos))) {
+			if (candidate.full(nowNanos) || this.peers.isChanging(candidate.node().id(), nowNanos)
+					|| (anyHealthy && candidate.avoided(nowNanos))) {
 				continue;
 			}
 			List<EngineRun> runs = new ArrayList<>(candidate.runs());
--- /dev/null
+++ b/gateway/src/main/java/org/skylarkstack/gateway/PoolMeter.java
@@ -0,0 +1,68 @@
+package org.skylarkstack.gateway;
+
+import java.util.List;
+
+import org.skylarkstack.peers.EngineRun;
+import org.skylarkstack.peers.PeerUsage;
+
+/**
+ * Averages the load of a service's engines over the last seconds, by what all daemons
+ * occupy. Confined to one thread.
+ */
+final class PoolMeter {
+
+	private static final double SMOOTHING = 0.08;
+
+	private static final int MIN_SAMPLES = 12;
+
+	private double busyPrefill;
+
+	private double decodeFill;
+
+	private int samples;
+
+	/**
+	 * Takes a sample.
+	 * @param prefill the prefill engines
+	 * @param decode the decode engines
+	 * @param profile the profile of the engines
+	 * @param peers what peers use
+	 * @param nowNanos the present time
+	 */
+	void sample(List<BackendState> prefill, List<BackendState> decode, EngineProfile profile, PeerUsage peers,
+			long nowNanos) {
+		double busy = prefill.stream().filter((engine) -> tokens(engine, peers, nowNanos) > 0).count();
+		double occupied = decode.stream().mapToLong((engine) -> tokens(engine, peers, nowNanos)).sum();
+		double fill = occupied / Math.max(1, profile.kvTokens() * decode.size());
+		this.busyPrefill += SMOOTHING * (busy - this.busyPrefill);
+		this.decodeFill += SMOOTHING * (fill - this.decodeFill);
+		this.samples++;
+	}
+
+	private static long tokens(BackendState engine, PeerUsage peers, long nowNanos) {
+		return engine.openTokens()
+				+ peers.runsOfPeers(engine.node().id(), nowNanos).stream().mapToLong(EngineRun::tokens).sum();
+	}
+
+	/** Forgets the samples, after the pool has changed. */
+	void reset() {
+		this.samples = 0;
+		this.busyPrefill = 0;
+		this.decodeFill = 0;
+	}
+
+	/**
+	 * Returns whether the average means something yet.
+	 * @return whether there are enough samples
+	 */
+	boolean settled() {
+		return this.samples >= MIN_SAMPLES;
+	}
+
+	PoolLoad load(int prefillEngines, int decodeEngines) {
+		// The average starts at zero; the correction takes that out.
+		double seen = 1 - Math.pow(1 - SMOOTHING, this.samples);
+		return new PoolLoad(prefillEngines, this.busyPrefill / seen, decodeEngines, this.decodeFill / seen);
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/skylarkstack/gateway/RoleDuty.java
@@ -0,0 +1,240 @@
+package org.skylarkstack.gateway;
+
+import java.io.ByteArrayOutputStream;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpHeaders;
+import org.jspecify.annotations.Nullable;
+import org.skylarkstack.edge.BackendCaller;
+import org.skylarkstack.edge.BackendFailure;
+import org.skylarkstack.edge.BackendListener;
+import org.skylarkstack.edge.BackendRequest;
+import org.skylarkstack.peers.PeerUsage;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Moves engines between the roles of a pool. One daemon at a time does so: the first by
+ * name of those that hear each other considers it, and each order needs a claim of its
+ * own in the platform's store, whose number fences it. An order that was not sent at once
+ * after its claim is not sent at all.
+ */
+public final class RoleDuty {
+
+	private static final Logger log = LoggerFactory.getLogger(RoleDuty.class);
+
+	private static final long SAMPLE_MILLIS = 200;
+
+	// Orders without an answer may be carried out up to this much later.
+	private static final long QUIET_NANOS = 20_000_000_000L;
+
+	private static final long CLAIM_VALID_MILLIS = 1_000;
+
+	private static final long PAUSE_NANOS = 8_000_000_000L;
+
+	private static final long NANOS_PER_MILLI = 1_000_000;
+
+	private final String self;
+
+	private final EventLoop loop;
+
+	private final GatewayState state;
+
+	private final PeerUsage peers;
+
+	private final DutyClaims claims;
+
+	private final RoleOrders orders;
+
+	private final BackendCaller caller;
+
+	private final DutyTurn turn = new DutyTurn(QUIET_NANOS);
+
+	private final Map<String, PoolMeter> meters = new HashMap<>();
+
+	private long pausedUntilNanos = System.nanoTime();
+
+	/**
+	 * Creates the duty.
+	 * @param self this daemon
+	 * @param loop the event loop
+	 * @param state what the daemon believes
+	 * @param peers what peers use
+	 * @param claims claims of the duty
+	 * @param orders encodes orders
+	 * @param caller calls engines
+	 */
+	public RoleDuty(String self, EventLoop loop, GatewayState state, PeerUsage peers, DutyClaims claims,
+			RoleOrders orders, BackendCaller caller) {
+		this.self = self;
+		this.loop = loop;
+		this.state = state;
+		this.peers = peers;
+		this.claims = claims;
+		this.orders = orders;
+		this.caller = caller;
+	}
+
+	/** Starts to measure and to decide. */
+	public void start() {
+		this.loop.scheduleWithFixedDelay(this::sample, SAMPLE_MILLIS, SAMPLE_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	private void sample() {
+		RoutingTable table = this.state.routing();
+		if (table == null) {
+			return;
+		}
+		long now = System.nanoTime();
+		for (ServicePolicy service : table.services()) {
+			EngineProfile profile = service.engine();
+			if (profile != null) {
+				sample(service.name(), profile, now);
+			}
+		}
+	}
+
+	private void sample(String service, EngineProfile profile, long now) {
+		List<BackendState> prefill = this.state.backends().candidates(service, Stage.PREFILL, (node) -> false);
+		List<BackendState> decode = this.state.backends().candidates(service, Stage.DECODE, (node) -> false);
+		PoolMeter meter = this.meters.computeIfAbsent(service, (name) -> new PoolMeter());
+		meter.sample(prefill, decode, profile, this.peers, now);
+		if (!meter.settled() || now - this.pausedUntilNanos < 0 || !this.peers.first(this.self, now)) {
+			return;
+		}
+		PoolLoad load = meter.load(prefill.size(), decode.size());
+		Stage role = RolePolicy.decide(load);
+		if (role == null) {
+			return;
+		}
+		BackendState engine = idlest((role == Stage.DECODE) ? prefill : decode);
+		if (engine == null) {
+			return;
+		}
+		this.pausedUntilNanos = now + PAUSE_NANOS;
+		log.atInfo()
+			.addKeyValue("event", "role-change-wanted")
+			.addKeyValue("service", service)
+			.addKeyValue("server", engine.node().id())
+			.addKeyValue("role", role)
+			.addKeyValue("busyPrefill", "%.2f of %d".formatted(load.busyPrefillEngines(), load.prefillEngines()))
+			.addKeyValue("decodeFill", "%.2f of %d".formatted(load.decodeFill(), load.decodeEngines()))
+			.log();
+		claim(service, engine.node(), role);
+	}
+
+	private static @Nullable BackendState idlest(List<BackendState> engines) {
+		BackendState best = null;
+		for (BackendState engine : engines) {
+			if (best == null || engine.openTokens() < best.openTokens()) {
+				best = engine;
+			}
+		}
+		return best;
+	}
+
+	private void claim(String service, BackendNode engine, Stage role) {
+		this.claims.read(service, (former) -> {
+			if (former == null || !this.turn.mayClaim(former, this.self, System.nanoTime())) {
+				log.atInfo()
+					.addKeyValue("event", "role-duty-not-claimed")
+					.addKeyValue("holder", (former != null) ? former.holder() : "unknown")
+					.addKeyValue("number", (former != null) ? former.fencingNumber() : 0)
+					.log();
+				return;
+			}
+			long sentNanos = System.nanoTime();
+			long sentMillis = System.currentTimeMillis();
+			this.claims.claim(service, former, this.self, (number) -> {
+				long age = Math.max((System.nanoTime() - sentNanos) / NANOS_PER_MILLI,
+						System.currentTimeMillis() - sentMillis);
+				if (number > 0 && age < CLAIM_VALID_MILLIS) {
+					order(service, engine, role, number);
+				}
+			});
+		});
+	}
+
+	private void order(String service, BackendNode engine, Stage role, long fencingNumber) {
+		BackendState current = this.state.backends().find(engine.id());
+		if (current == null || !current.node().sameLife(engine) || current.node().draining()) {
+			return;
+		}
+		log.atInfo()
+			.addKeyValue("event", "role-ordered")
+			.addKeyValue("server", engine.id())
+			.addKeyValue("role", role)
+			.addKeyValue("fencingNumber", fencingNumber)
+			.log();
+		this.peers.changing(engine.id(), System.nanoTime());
+		this.meters.remove(service);
+		this.caller.call(this.orders.encode(engine, role, this.self, fencingNumber), new OrderOutcome(engine.id()));
+	}
+
+	/**
+	 * Encodes orders to engines.
+	 */
+	public interface RoleOrders {
+
+		/**
+		 * Encodes an order to take a role.
+		 * @param engine the engine
+		 * @param role the role
+		 * @param holder the daemon that orders
+		 * @param fencingNumber the number of its claim
+		 * @return the message
+		 */
+		BackendRequest encode(BackendNode engine, Stage role, String holder, long fencingNumber);
+
+	}
+
+	/**
+	 * Logs what an engine says to an order.
+	 */
+	private static final class OrderOutcome implements BackendListener {
+
+		private final String engine;
+
+		private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+
+		private int status;
+
+		OrderOutcome(String engine) {
+			this.engine = engine;
+		}
+
+		@Override
+		public void head(int received, HttpHeaders headers) {
+			this.status = received;
+		}
+
+		@Override
+		public void data(byte[] part) {
+			this.body.writeBytes(part);
+		}
+
+		@Override
+		public void ended() {
+			log("status-" + this.status);
+		}
+
+		@Override
+		public void failed(BackendFailure failure) {
+			log(failure.kind().name());
+		}
+
+		private void log(String outcome) {
+			log.atInfo()
+				.addKeyValue("event", "role-order-answered")
+				.addKeyValue("server", this.engine)
+				.addKeyValue("outcome", outcome)
+				.log();
+		}
+
+	}
+
+}
--- a/gateway/src/main/java/org/skylarkstack/gateway/RoutingTable.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/RoutingTable.java
@@ -1,6 +1,7 @@
 package org.skylarkstack.gateway;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -83,6 +84,14 @@
 		return this.services.get(name);
 	}
 
+	/**
+	 * Returns the services.
+	 * @return the services
+	 */
+	public Collection<ServicePolicy> services() {
+		return this.services.values();
+	}
+
 	/**
 	 * Returns the teams.
 	 * @return the teams; empty if no request needs a key
--- a/gateway/src/main/java/org/skylarkstack/gateway/StreamAdmission.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/StreamAdmission.java
@@ -24,6 +24,8 @@
 
 	private final BackendDirectory backends;
 
+	private final PeerUsage peers;
+
 	private final EngineRoom room;
 
 	private final AnswerLengths lengths = new AnswerLengths();
@@ -46,6 +48,7 @@
 	public StreamAdmission(EventLoop loop, BackendDirectory backends, PeerUsage peers, String dataCentre) {
 		this.loop = loop;
 		this.backends = backends;
+		this.peers = peers;
 		this.room = new EngineRoom(peers, dataCentre);
 	}
 
@@ -62,6 +65,10 @@
 		}
 	}
 
+	boolean isChanging(String engine, long nowNanos) {
+		return this.peers.isChanging(engine, nowNanos);
+	}
+
 	AnswerLengths lengths() {
 		return this.lengths;
 	}
--- a/gateway/src/main/java/org/skylarkstack/gateway/StreamExchange.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/StreamExchange.java
@@ -188,7 +188,8 @@
 	private @Nullable BackendState choosePrefill(String dataCentre, long now) {
 		List<BackendState> candidates = parts().state()
 			.backends()
-			.candidates(context().service().name(), Stage.PREFILL, (node) -> tried().contains(node.id()));
+			.candidates(context().service().name(), Stage.PREFILL,
+					(node) -> tried().contains(node.id()) || parts().admission().isChanging(node.id(), now));
 		return parts().engines().choose(candidates, this.profile, context().facts().promptTokens(), dataCentre, now);
 	}
 
--- a/gateway/src/main/java/org/skylarkstack/peers/PeerUsage.java
+++ b/gateway/src/main/java/org/skylarkstack/peers/PeerUsage.java
@@ -14,10 +14,15 @@
 	// Five report periods; a peer that is silent for longer is treated as out of reach.
 	private static final long FRESH_NANOS = 1_200_000_000L;
 
+	// An engine drains and then needs some seconds to change its role.
+	private static final long CHANGE_NANOS = 9_000_000_000L;
+
 	private final Map<String, Received> reports = new HashMap<>();
 
 	private final Map<String, Long> unitsFromPeers = new HashMap<>();
 
+	private final Map<String, Long> changing = new HashMap<>();
+
 	private int daemons = 1;
 
 	/**
@@ -78,6 +83,58 @@
 		return runs;
 	}
 
+	/**
+	 * Notes that this daemon has ordered an engine to change its role.
+	 * @param engine the engine
+	 * @param nowNanos the present time
+	 */
+	public void changing(String engine, long nowNanos) {
+		this.changing.put(engine, nowNanos);
+	}
+
+	/**
+	 * Returns the engines that this daemon has ordered to change their role.
+	 * @param nowNanos the present time
+	 * @return the engines whose change may still be under way
+	 */
+	public Set<String> changing(long nowNanos) {
+		this.changing.values().removeIf((since) -> nowNanos - since > CHANGE_NANOS);
+		return this.changing.keySet();
+	}
+
+	/**
+	 * Returns whether an engine is about to change its role.
+	 * @param engine the engine
+	 * @param nowNanos the present time
+	 * @return whether any daemon has ordered it
+	 */
+	public boolean isChanging(String engine, long nowNanos) {
+		if (changing(nowNanos).contains(engine)) {
+			return true;
+		}
+		for (Received received : this.reports.values()) {
+			if (nowNanos - received.nanos < FRESH_NANOS && received.report.changingEngines().contains(engine)) {
+				return true;
+			}
+		}
+		return false;
+	}
+
+	/**
+	 * Returns whether this daemon is the first by name of those that are heard.
+	 * @param self the name of this daemon
+	 * @param nowNanos the present time
+	 * @return whether no daemon before it is heard, and a majority is heard
+	 */
+	public boolean first(String self, long nowNanos) {
+		for (Map.Entry<String, Received> entry : this.reports.entrySet()) {
+			if (nowNanos - entry.getValue().nanos < FRESH_NANOS && entry.getKey().compareTo(self) < 0) {
+				return false;
+			}
+		}
+		return heard(nowNanos) > this.daemons / 2;
+	}
+
 	/**
 	 * Returns the number of registered daemons, this one included.
 	 * @return the number
--- a/gateway/src/main/java/org/skylarkstack/peers/UsageCodec.java
+++ b/gateway/src/main/java/org/skylarkstack/peers/UsageCodec.java
@@ -4,8 +4,10 @@
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import org.jspecify.annotations.Nullable;
 import org.msgpack.core.MessageBufferPacker;
@@ -31,6 +33,10 @@
 			packer.packLong(report.number());
 			pack(packer, report.unitsByTeam());
 			packRuns(packer, report.runsByEngine());
+			packer.packArrayHeader(report.changingEngines().size());
+			for (String engine : report.changingEngines()) {
+				packer.packString(engine);
+			}
 			return packer.toByteArray();
 		}
 		catch (IOException ex) {
@@ -69,7 +75,7 @@
 				return null;
 			}
 			return new UsageReport(unpacker.unpackString(), unpacker.unpackLong(), unpacker.unpackLong(),
-					unpack(unpacker), unpackRuns(unpacker));
+					unpack(unpacker), unpackRuns(unpacker), unpackSet(unpacker));
 		}
 		catch (IOException | MessagePackException ex) {
 			// Anyone can send a datagram; the link counts what is not understood.
@@ -86,6 +92,15 @@
 		return values;
 	}
 
+	private static Set<String> unpackSet(MessageUnpacker unpacker) throws IOException {
+		int size = unpacker.unpackArrayHeader();
+		Set<String> values = new HashSet<>();
+		for (int entry = 0; entry < size; entry++) {
+			values.add(unpacker.unpackString());
+		}
+		return values;
+	}
+
 	private static Map<String, List<EngineRun>> unpackRuns(MessageUnpacker unpacker) throws IOException {
 		int size = unpacker.unpackMapHeader();
 		Map<String, List<EngineRun>> runs = new HashMap<>();
--- a/gateway/src/main/java/org/skylarkstack/peers/UsageReport.java
+++ b/gateway/src/main/java/org/skylarkstack/peers/UsageReport.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * What one daemon uses at present. A report replaces all earlier ones of its sender, so
@@ -12,9 +13,10 @@
  * @param number grows with each report of the incarnation
  * @param unitsByTeam the units that each team took at the sender since it started
  * @param runsByEngine the memory of each of the sender's requests at each engine
+ * @param changingEngines the engines that the sender has ordered to change their role
  */
 public record UsageReport(String vmId, long incarnation, long number, Map<String, Long> unitsByTeam,
-		Map<String, List<EngineRun>> runsByEngine) {
+		Map<String, List<EngineRun>> runsByEngine, Set<String> changingEngines) {
 
 	/**
 	 * Creates a report.
@@ -22,6 +24,7 @@
 	public UsageReport {
 		unitsByTeam = Map.copyOf(unitsByTeam);
 		runsByEngine = Map.copyOf(runsByEngine);
+		changingEngines = Set.copyOf(changingEngines);
 	}
 
 }
