--- a/gateway/src/main/java/org/skylarkstack/gateway/BackendDirectory.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/BackendDirectory.java
@@ -19,7 +19,7 @@
 	private final Map<String, BackendState> states = new HashMap<>();
 
 	/**
-	 * Takes an announcement.
+	 * Takes an announcement, unless it is of a life that is over.
 	 * @param node the announced server
 	 */
 	public void announce(BackendNode node) {
@@ -27,7 +27,7 @@
 		if (known != null && known.node().sameLife(node)) {
 			known.update(node);
 		}
-		else {
+		else if (known == null || known.node().bornMillis() < node.bornMillis()) {
 			this.states.put(node.id(), new BackendState(node));
 		}
 	}
--- a/gateway/src/main/java/org/skylarkstack/logs/LogConfigurator.java
+++ b/gateway/src/main/java/org/skylarkstack/logs/LogConfigurator.java
@@ -1,7 +1,7 @@
 package org.skylarkstack.logs;
 
-import java.io.FileOutputStream;
 import java.io.FileDescriptor;
+import java.io.FileOutputStream;
 import java.io.PrintStream;
 
 import ch.qos.logback.classic.Level;
--- /dev/null
+++ b/gateway/src/test/java/org/skylarkstack/edge/BackendCallerTests.java
@@ -0,0 +1,164 @@
+package org.skylarkstack.edge;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests of {@link BackendCaller} against servers that misbehave on plain sockets.
+ */
+class BackendCallerTests {
+
+	private static final int TIMEOUT_MILLIS = 5_000;
+
+	private static final String OK = "HTTP/1.1 200 OK\r\nX-Id: mine\r\n";
+
+	private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
+	private final BackendCaller caller = new BackendCaller(this.group.next(), 500);
+
+	private final BlockingQueue<String> outcome = new LinkedBlockingQueue<>();
+
+	private ServerSocket listener = unbound();
+
+	private static ServerSocket unbound() {
+		try {
+			return new ServerSocket();
+		}
+		catch (IOException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
+	@BeforeEach
+	void listen() throws IOException {
+		this.listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+	}
+
+	@AfterEach
+	void close() throws IOException {
+		this.listener.close();
+		this.group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+	}
+
+	private String call(String answer, boolean reset) throws Exception {
+		BackendRequest request = new BackendRequest((InetSocketAddress) this.listener.getLocalSocketAddress(), "POST",
+				"/a", new DefaultHttpHeaders().set("X-Id", "mine"), "body".getBytes(StandardCharsets.UTF_8), "X-Id");
+		this.group.next().execute(() -> this.caller.call(request, new Recorder()));
+		try (Socket socket = this.listener.accept()) {
+			socket.setSoTimeout(TIMEOUT_MILLIS);
+			byte[] buffer = new byte[1_000];
+			StringBuilder received = new StringBuilder();
+			while (!received.toString().endsWith("\r\n\r\nbody")) {
+				int length = socket.getInputStream().read(buffer);
+				received.append(new String(buffer, 0, length, StandardCharsets.UTF_8));
+			}
+			socket.getOutputStream().write(answer.getBytes(StandardCharsets.UTF_8));
+			socket.getOutputStream().flush();
+			Thread.sleep(100);
+			if (reset) {
+				socket.setSoLinger(true, 0);
+			}
+		}
+		return String.valueOf(this.outcome.poll(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+	}
+
+	/** Guards against an answer without a length that is taken to be incomplete. */
+	@Test
+	void anAnswerMayEndWithItsConnection() throws Exception {
+		assertThat(call(OK + "\r\nhello", false)).isEqualTo("200 hello");
+	}
+
+	/** Guards against an answer without a length that was reset and looks complete. */
+	@Test
+	void anAnswerThatIsResetIsNotComplete() throws Exception {
+		assertThat(call(OK + "\r\nhello", true)).isEqualTo("BROKEN MAY_HAVE_RUN");
+	}
+
+	/** Guards against a truncated answer that looks complete. */
+	@Test
+	void aTruncatedAnswerIsNotComplete() throws Exception {
+		assertThat(call(OK + "Content-Length: 10\r\n\r\nhello", false)).isEqualTo("BROKEN MAY_HAVE_RUN");
+		assertThat(call(OK + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n", false))
+			.isEqualTo("BROKEN MAY_HAVE_RUN");
+	}
+
+	/** Guards against a second answer whose bytes reach a caller. */
+	@Test
+	void whatFollowsAnAnswerIsIgnored() throws Exception {
+		assertThat(call(OK + "Content-Length: 5\r\n\r\nhello" + OK + "Content-Length: 5\r\n\r\nother", false))
+			.isEqualTo("200 hello");
+	}
+
+	/** Guards against the answer of another request. */
+	@Test
+	void anAnswerWithAnotherIdIsSkipped() throws Exception {
+		String foreign = "HTTP/1.1 200 OK\r\nX-Id: theirs\r\nContent-Length: 5\r\n\r\nother";
+		assertThat(call(foreign + OK + "Content-Length: 5\r\n\r\nhello", false)).isEqualTo("200 hello");
+		assertThat(call(foreign, false)).isEqualTo("BROKEN MAY_HAVE_RUN");
+	}
+
+	/** Guards against bytes that are no answer. */
+	@Test
+	void garbageIsNoAnswer() throws Exception {
+		assertThat(call("\u0001\u0002 nonsense\r\n\r\n", false)).isEqualTo("MALFORMED MAY_HAVE_RUN");
+	}
+
+	/** Guards against a call that counts as possibly run though it was never sent. */
+	@Test
+	void aServerThatIsNotThereWasNotAsked() throws Exception {
+		InetSocketAddress address = (InetSocketAddress) this.listener.getLocalSocketAddress();
+		this.listener.close();
+		this.group.next()
+			.execute(() -> this.caller.call(
+					new BackendRequest(address, "GET", "/a", new DefaultHttpHeaders(), new byte[0], null),
+					new Recorder()));
+		assertThat(this.outcome.poll(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).isEqualTo("UNREACHABLE NOT_RUN");
+	}
+
+	/**
+	 * Listener that records the outcome as text.
+	 */
+	private final class Recorder implements BackendListener {
+
+		private final StringBuilder text = new StringBuilder();
+
+		@Override
+		public void head(int status, HttpHeaders headers) {
+			this.text.append(status).append(' ');
+		}
+
+		@Override
+		public void data(byte[] part) {
+			this.text.append(new String(part, StandardCharsets.UTF_8));
+		}
+
+		@Override
+		public void ended() {
+			BackendCallerTests.this.outcome.add(this.text.toString());
+		}
+
+		@Override
+		public void failed(BackendFailure failure) {
+			BackendCallerTests.this.outcome.add(failure.kind() + " " + failure.verdict());
+		}
+
+	}
+
+}
--- /dev/null
+++ b/gateway/src/test/java/org/skylarkstack/edge/EdgeServerTests.java
@@ -0,0 +1,192 @@
+package org.skylarkstack.edge;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests of {@link EdgeServer} with callers on plain sockets.
+ */
+class EdgeServerTests {
+
+	private static final int READ_TIMEOUT_MILLIS = 5_000;
+
+	private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
+	private final BlockingQueue<String> events = new LinkedBlockingQueue<>();
+
+	private final Deque<CallerAnswer> held = new ArrayDeque<>();
+
+	private EdgeLimits limits = new EdgeLimits(2_048, 1_000, 300, 10_000);
+
+	private EdgeServer server = new EdgeServer(this.group.next(), this::handle, () -> this.limits);
+
+	private InetSocketAddress address = new InetSocketAddress(0);
+
+	@BeforeEach
+	void listen() throws IOException {
+		try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+			this.address = new InetSocketAddress(InetAddress.getLoopbackAddress(), free.getLocalPort());
+		}
+		this.server.listen(this.address, this.group);
+	}
+
+	@AfterEach
+	void close() {
+		this.group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+	}
+
+	private void handle(CallerRequest request, CallerAnswer answer) {
+		this.events.add(request.method() + " " + request.target() + " " + request.body().length);
+		answer.onGone(() -> this.events.add("gone"));
+		if (request.target().startsWith("/hold")) {
+			this.held.add(answer);
+		}
+		else if (request.target().startsWith("/stream")) {
+			answer.start(200, new DefaultHttpHeaders());
+			answer.write("part".getBytes(StandardCharsets.UTF_8));
+			answer.abort();
+		}
+		else {
+			answer.send(200, new DefaultHttpHeaders(), request.target().getBytes(StandardCharsets.UTF_8));
+		}
+	}
+
+	private Socket connect(String text) throws IOException {
+		Socket socket = new Socket();
+		socket.connect(this.address);
+		socket.setSoTimeout(READ_TIMEOUT_MILLIS);
+		socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+		return socket;
+	}
+
+	private static String readAll(Socket socket) throws IOException {
+		return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+	}
+
+	private static String readSome(Socket socket, String until) throws IOException {
+		InputStream in = socket.getInputStream();
+		StringBuilder text = new StringBuilder();
+		while (!text.toString().contains(until)) {
+			int next = in.read();
+			if (next < 0) {
+				break;
+			}
+			text.append((char) next);
+		}
+		return text.toString();
+	}
+
+	private String event() throws InterruptedException {
+		return String.valueOf(this.events.poll(READ_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+	}
+
+	/** Guards against work for a caller that closed while its request waits. */
+	@Test
+	void aCallerThatLeavesWhileItWaitsIsNoticed() throws Exception {
+		Socket socket = connect("GET /hold HTTP/1.1\r\nHost: x\r\n\r\n");
+		assertThat(event()).isEqualTo("GET /hold 0");
+		socket.close();
+		assertThat(event()).isEqualTo("gone");
+	}
+
+	/** Guards against a pipelined request that is lost or answered out of order. */
+	@Test
+	void pipelinedRequestsAreAnsweredInOrder() throws Exception {
+		try (Socket socket = connect("GET /hold HTTP/1.1\r\nHost: x\r\n\r\nGET /second HTTP/1.1\r\nHost: x\r\n\r\n")) {
+			assertThat(event()).isEqualTo("GET /hold 0");
+			assertThat(this.events.poll(100, TimeUnit.MILLISECONDS)).isNull();
+			this.group.next()
+				.execute(() -> this.held.remove()
+					.send(200, new DefaultHttpHeaders(), "first".getBytes(StandardCharsets.UTF_8)));
+			String text = readSome(socket, "/second");
+			assertThat(text.indexOf("first")).isLessThan(text.indexOf("/second"));
+			assertThat(event()).isEqualTo("GET /second 0");
+		}
+	}
+
+	/** Guards against a second request that is smuggled inside the body of the first. */
+	@Test
+	void ambiguousFramingIsRefused() throws Exception {
+		try (Socket socket = connect(
+				"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n"
+						+ "0\r\n\r\nGET /smuggled HTTP/1.1\r\nHost: x\r\n\r\n")) {
+			assertThat(readAll(socket)).startsWith("HTTP/1.1 400");
+			assertThat(this.events).isEmpty();
+		}
+	}
+
+	/** Guards against a body that fills the memory. */
+	@Test
+	void aLargeBodyIsRefused() throws Exception {
+		try (Socket socket = connect(
+				"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 2000\r\n\r\n" + "x".repeat(2_000))) {
+			assertThat(readAll(socket)).startsWith("HTTP/1.1 413");
+			assertThat(this.events).isEmpty();
+		}
+	}
+
+	/** Guards against headers that fill the memory. */
+	@Test
+	void largeHeadersAreRefused() throws Exception {
+		try (Socket socket = connect("GET /a HTTP/1.1\r\nHost: x\r\nLong: " + "x".repeat(3_000) + "\r\n\r\n")) {
+			assertThat(readAll(socket)).startsWith("HTTP/1.1 431");
+		}
+	}
+
+	/** Guards against a caller that keeps a connection by sending half a request. */
+	@Test
+	void halfARequestTimesOut() throws Exception {
+		try (Socket socket = connect("GET /a HTTP/1.1\r\nHos")) {
+			assertThat(readAll(socket)).startsWith("HTTP/1.1 408");
+		}
+	}
+
+	/** Guards against a body in chunks that arrives changed. */
+	@Test
+	void chunkedBodiesAreJoined() throws Exception {
+		try (Socket socket = connect("POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+				+ "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")) {
+			assertThat(event()).isEqualTo("POST /a 5");
+			assertThat(readSome(socket, "/a")).startsWith("HTTP/1.1 200");
+		}
+	}
+
+	/** Guards against a broken answer that looks complete. */
+	@Test
+	void anAbortedAnswerHasNoLastChunk() throws Exception {
+		try (Socket socket = connect("GET /stream HTTP/1.1\r\nHost: x\r\n\r\n")) {
+			String text = readAll(socket);
+			assertThat(text).contains("4\r\npart\r\n");
+			assertThat(text).doesNotContain("0\r\n\r\n");
+		}
+	}
+
+	/** Guards against connections that are kept although the daemon is about to stop. */
+	@Test
+	void answersAnnounceTheCloseWhenStopping() throws Exception {
+		this.server.announceClose();
+		try (Socket socket = connect("GET /a HTTP/1.1\r\nHost: x\r\n\r\n")) {
+			assertThat(readAll(socket).toLowerCase(java.util.Locale.ROOT)).contains("connection: close");
+		}
+	}
+
+}
--- /dev/null
+++ b/gateway/src/test/java/org/skylarkstack/gateway/BackendDirectoryTests.java
@@ -0,0 +1,76 @@
+package org.skylarkstack.gateway;
+
+import java.net.InetSocketAddress;
+
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests of {@link BackendDirectory} and {@link BackendState}.
+ */
+class BackendDirectoryTests {
+
+	private static final long MILLI = 1_000_000;
+
+	private final BackendDirectory directory = new BackendDirectory();
+
+	private static BackendNode node(String id, long born, boolean draining) {
+		return new BackendNode(id, born, "service", new InetSocketAddress("127.0.0.1", 1), "a", 8, draining,
+				Stage.NONE);
+	}
+
+	/** Guards against new work for a server that is about to leave. */
+	@Test
+	void drainingServersGetNoRequests() {
+		this.directory.announce(node("x", 1, false));
+		assertThat(this.directory.candidates("service", Stage.NONE, (node) -> false)).hasSize(1);
+		this.directory.announce(node("x", 1, true));
+		assertThat(this.directory.candidates("service", Stage.NONE, (node) -> false)).isEmpty();
+	}
+
+	/**
+	 * Guards against a restarted server that inherits the failures of its former life.
+	 */
+	@Test
+	void aNewLifeStartsWithoutHistory() {
+		this.directory.announce(node("x", 1, false));
+		BackendState former = this.directory.candidates("service", Stage.NONE, (node) -> false).get(0);
+		former.failed(0);
+		this.directory.announce(node("x", 2, false));
+		assertThat(this.directory.candidates("service", Stage.NONE, (node) -> false).get(0).avoided(0)).isFalse();
+	}
+
+	/** Guards against an old announcement that replaces the present life of a server. */
+	@Test
+	void anAnnouncementOfAFormerLifeIsIgnored() {
+		this.directory.announce(node("x", 2, false));
+		this.directory.announce(node("x", 1, true));
+		assertThat(this.directory.candidates("service", Stage.NONE, (node) -> false)).hasSize(1);
+	}
+
+	/** Guards against a failing server that is never tried again, or by all at once. */
+	@Test
+	void aFailedServerIsTriedAgainByOneRequest() {
+		BackendState state = new BackendState(node("x", 1, false));
+		state.failed(0);
+		assertThat(state.avoided(100 * MILLI)).isTrue();
+		assertThat(state.avoided(500 * MILLI)).isFalse();
+		state.opened(500 * MILLI);
+		assertThat(state.avoided(501 * MILLI)).isTrue();
+		state.closed();
+		state.succeeded();
+		assertThat(state.avoided(502 * MILLI)).isFalse();
+	}
+
+	/** Guards against avoiding a server for longer and longer without a bound. */
+	@Test
+	void avoidanceIsBounded() {
+		BackendState state = new BackendState(node("x", 1, false));
+		for (int failure = 0; failure < 50; failure++) {
+			state.failed(0);
+		}
+		assertThat(state.avoided(7_000 * MILLI)).isFalse();
+	}
+
+}
--- /dev/null
+++ b/gateway/src/test/java/org/skylarkstack/gateway/EngineRoomTests.java
@@ -0,0 +1,93 @@
+package org.skylarkstack.gateway;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+
+import org.junit.jupiter.api.Test;
+import org.skylarkstack.peers.EngineRun;
+import org.skylarkstack.peers.PeerUsage;
+import org.skylarkstack.peers.UsageReport;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests of {@link EngineRoom} and {@link AnswerLengths}.
+ */
+class EngineRoomTests {
+
+	private static final EngineProfile PROFILE = new EngineProfile(64, 10_000, 50, 500);
+
+	private static final EngineRun REQUEST = new EngineRun(2_000, 1_000);
+
+	private final PeerUsage peers = new PeerUsage();
+
+	private final EngineRoom room = new EngineRoom(this.peers, "a");
+
+	private final BackendState near = engine("near", "a");
+
+	private final BackendState far = engine("far", "b");
+
+	private static BackendState engine(String id, String dataCentre) {
+		return new BackendState(new BackendNode(id, 1, "s", new InetSocketAddress("127.0.0.1", 1), dataCentre, 64,
+				false, Stage.DECODE));
+	}
+
+	private String find(long now) {
+		BackendState found = this.room.find(List.of(this.near, this.far), PROFILE, REQUEST, now);
+		return (found != null) ? found.node().id() : "none";
+	}
+
+	private void peersOccupy(String engine, int requests) {
+		List<EngineRun> runs = java.util.Collections.nCopies(requests, REQUEST);
+		this.peers.received(new UsageReport("peer", 1, System.nanoTime(), Map.of(), Map.of(engine, runs), Set.of()), 0);
+	}
+
+	/**
+	 * Guards against daemons that all choose the engine that each of them finds empty.
+	 */
+	@Test
+	void memoryThatPeersOccupyCounts() {
+		assertThat(find(0)).isEqualTo("near");
+		peersOccupy("near", 2);
+		assertThat(find(0)).isEqualTo("far");
+	}
+
+	/** Guards against prompts that are processed for an engine without memory. */
+	@Test
+	void aRequestThatFitsNowhereWaits() {
+		peersOccupy("near", 2);
+		for (int request = 0; request < 2; request++) {
+			this.far.reserve(new EngineUse(2_000, 1_000, 2_000));
+		}
+		assertThat(find(0)).isEqualTo("none");
+	}
+
+	/** Guards against a request larger than the usual bound that is never admitted. */
+	@Test
+	void anEmptyEngineTakesAnyRequest() {
+		EngineRun large = new EngineRun(9_900, 50);
+		assertThat(Objects.requireNonNull(this.room.find(List.of(this.near), PROFILE, large, 0)).node().id())
+			.isEqualTo("near");
+	}
+
+	/** Guards against asking an engine again that has just refused for want of memory. */
+	@Test
+	void anEngineThatRefusedIsLeftAloneForAMoment() {
+		this.near.refusedFull(0);
+		assertThat(find(1)).isEqualTo("far");
+		assertThat(find(400_000_000L)).isEqualTo("near");
+	}
+
+	/** Guards against estimates of callers that are far off. */
+	@Test
+	void estimatesArePulledTowardsTheUsualLength() {
+		AnswerLengths lengths = new AnswerLengths();
+		lengths.answered("route", 4_000);
+		RequestFacts facts = new RequestFacts("id", "host", null, -1, 5_000, 6_500, 1_000, null);
+		assertThat(lengths.expected("route", facts)).isEqualTo(2_000);
+	}
+
+}
--- /dev/null
+++ b/gateway/src/test/java/org/skylarkstack/gateway/EventBufferTests.java
@@ -0,0 +1,51 @@
+package org.skylarkstack.gateway;
+
+import java.nio.charset.StandardCharsets;
+
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests of {@link EventBuffer}.
+ */
+class EventBufferTests {
+
+	private final EventBuffer buffer = new EventBuffer();
+
+	private String take(String part) {
+		return new String(this.buffer.take(part.getBytes(StandardCharsets.UTF_8)), StandardCharsets.UTF_8);
+	}
+
+	/** Guards against half an event that reaches the caller before the engine dies. */
+	@Test
+	void holdsBackAnEventUntilItIsWhole() {
+		assertThat(take("id: 1\ndata: a\n\nid: 2\nda")).isEqualTo("id: 1\ndata: a\n\n");
+		assertThat(this.buffer.hasPartial()).isTrue();
+		assertThat(this.buffer.lastEventId()).isEqualTo("1");
+		assertThat(take("ta: b\n\n")).isEqualTo("id: 2\ndata: b\n\n");
+		assertThat(this.buffer.hasPartial()).isFalse();
+		assertThat(this.buffer.lastEventId()).isEqualTo("2");
+	}
+
+	/** Guards against the rest of a broken event in front of the resumed stream. */
+	@Test
+	void aDroppedPartDoesNotComeBack() {
+		take("id: 1\ndata: a\n\nid: 2\nda");
+		this.buffer.dropPartial();
+		assertThat(take("id: 2\ndata: b\n\n")).isEqualTo("id: 2\ndata: b\n\n");
+		assertThat(this.buffer.events()).isEqualTo(2);
+	}
+
+	/** Guards against an end of line that is split between two reads. */
+	@Test
+	void readsByteByByte() {
+		StringBuilder out = new StringBuilder();
+		for (char c : "id: 7\r\ndata: x\r\n\r\n".toCharArray()) {
+			out.append(take(String.valueOf(c)));
+		}
+		assertThat(out.toString()).isEqualTo("id: 7\r\ndata: x\r\n\r\n");
+		assertThat(this.buffer.lastEventId()).isEqualTo("7");
+	}
+
+}
--- /dev/null
+++ b/gateway/src/test/java/org/skylarkstack/gateway/RoutingTableTests.java
@@ -0,0 +1,66 @@
+package org.skylarkstack.gateway;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+import org.junit.jupiter.api.Test;
+import org.skylarkstack.edge.EdgeLimits;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests of {@link RoutingTable} and {@link GatewayState}.
+ */
+class RoutingTableTests {
+
+	private static ServiceRoute route(String prefix, String service, int weight) {
+		return new ServiceRoute(prefix, "host.example", prefix, RouteKind.IDEMPOTENT,
+				List.of(new WeightedService(service, weight), new WeightedService("other", 100 - weight)), 2, 2_000,
+				300, 1, false, false);
+	}
+
+	private static RoutingTable table(long version) {
+		return new RoutingTable(version, List.of(route("/a/", "s1", 100), route("/a/b/", "s2", 90)),
+				List.of(new ServicePolicy("s1", 10, null)),
+				List.of(new TeamPolicy("team", Set.of("key"), null, true, 200, 10, 10)), EdgeLimits.DEFAULT);
+	}
+
+	/** Guards against a request that runs at the service of a shorter prefix. */
+	@Test
+	void theLongestPrefixWins() {
+		assertThat(Objects.requireNonNull(table(1).route("HOST.example:80", "/a/b/c")).name()).isEqualTo("/a/b/");
+		assertThat(Objects.requireNonNull(table(1).route("host.example", "/a/bc")).name()).isEqualTo("/a/");
+		assertThat(table(1).route("host.example", "/b")).isNull();
+		assertThat(table(1).route("other.example", "/a/")).isNull();
+	}
+
+	/** Guards against a share of a route that goes to the wrong service. */
+	@Test
+	void servicesArePickedByWeight() {
+		SplittableRandom random = new SplittableRandom(7);
+		int first = 0;
+		for (int request = 0; request < 10_000; request++) {
+			first += "s2".equals(route("/a/b/", "s2", 90).pickService(random)) ? 1 : 0;
+		}
+		assertThat(first).isIn(com.google.common.collect.Range.closed(8_800, 9_200));
+	}
+
+	/** Guards against a configuration that goes back to an older version. */
+	@Test
+	void anOlderVersionIsNotApplied() {
+		GatewayState state = new GatewayState(new GatewaySettings("vm", "a", true, 5_000, 0.2, 54, 10, 8, 0.1, 100, 8));
+		state.apply(table(5));
+		state.apply(table(4));
+		assertThat(Objects.requireNonNull(state.routing()).version()).isEqualTo(5);
+	}
+
+	/** Guards against a key that belongs to nobody or to another team. */
+	@Test
+	void keysBelongToTheirTeam() {
+		assertThat(Objects.requireNonNull(table(1).team("key")).name()).isEqualTo("team");
+		assertThat(table(1).team("withdrawn")).isNull();
+	}
+
+}
--- /dev/null
+++ b/gateway/src/test/java/org/skylarkstack/gateway/StreamQueueTests.java
@@ -0,0 +1,146 @@
+package org.skylarkstack.gateway;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+import org.skylarkstack.peers.EngineRun;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests of {@link StreamQueue}. Times are milliseconds after the start of a recorded
+ * burst.
+ */
+class StreamQueueTests {
+
+	private static final long MILLI = 1_000_000;
+
+	private final List<String> events = new ArrayList<>();
+
+	private final StreamQueue queue = new StreamQueue();
+
+	private final BackendState engine = new BackendState(
+			new BackendNode("e", 1, "s", new InetSocketAddress("127.0.0.1", 1), "a", 8, false, Stage.DECODE));
+
+	private void add(String name, long tokens, int priority, long since) {
+		this.queue.add(new Waiting(name, tokens, priority, since * MILLI));
+	}
+
+	private void advance(long room, long now) {
+		long[] left = { room };
+		this.queue.advance((stream) -> {
+			long tokens = stream.memory().tokens();
+			if (tokens > left[0]) {
+				return null;
+			}
+			left[0] -= tokens;
+			return this.engine;
+		}, now * MILLI);
+	}
+
+	/** Guards against late requests that take the room of those still in time. */
+	@Test
+	void requestsInTimeGoBeforeLateOnes() {
+		add("late", 10, 1, 0);
+		add("in-time", 10, 1, 900);
+		advance(10, 1_000);
+		assertThat(this.events).containsExactly("admit in-time");
+		advance(10, 1_010);
+		assertThat(this.events).containsExactly("admit in-time", "admit late").inOrder();
+	}
+
+	/** Guards against urgent kinds that wait behind less urgent ones. */
+	@Test
+	void moreUrgentGoFirstThenOlder() {
+		add("third", 10, 2, 0);
+		add("second", 10, 1, 20);
+		add("first", 10, 1, 10);
+		advance(30, 100);
+		assertThat(this.events).containsExactly("admit first", "admit second", "admit third").inOrder();
+	}
+
+	/** Guards against large prompts that starve behind small ones. */
+	@Test
+	void aLargeRequestIsOvertakenOnlyForAShortTime() {
+		add("large", 100, 1, 0);
+		add("small-1", 10, 1, 10);
+		advance(50, 100);
+		assertThat(this.events).containsExactly("admit small-1");
+		add("small-2", 10, 1, 200);
+		advance(50, 400);
+		assertThat(this.events).containsExactly("admit small-1");
+		advance(100, 500);
+		assertThat(this.events).containsExactly("admit small-1", "admit large").inOrder();
+	}
+
+	/** Guards against requests that are held to their deadline without an answer. */
+	@Test
+	void aRequestThatWaitedLongEnoughIsRefused() {
+		add("waiting", 100, 1, 0);
+		advance(50, 2_499);
+		assertThat(this.events).isEmpty();
+		advance(50, 2_500);
+		assertThat(this.events).containsExactly("refuse waiting");
+		assertThat(this.queue.size()).isEqualTo(0);
+	}
+
+	/**
+	 * Request that records what becomes of it.
+	 */
+	private final class Waiting implements WaitingStream {
+
+		private final String name;
+
+		private final long tokens;
+
+		private final int priority;
+
+		private final long since;
+
+		Waiting(String name, long tokens, int priority, long since) {
+			this.name = name;
+			this.tokens = tokens;
+			this.priority = priority;
+			this.since = since;
+		}
+
+		@Override
+		public EngineRun memory() {
+			return new EngineRun(this.tokens, 0);
+		}
+
+		@Override
+		public int priority() {
+			return this.priority;
+		}
+
+		@Override
+		public long sinceNanos() {
+			return this.since;
+		}
+
+		@Override
+		public long targetNanos() {
+			return this.since + 650 * MILLI;
+		}
+
+		@Override
+		public long untilNanos() {
+			return this.since + 2_500 * MILLI;
+		}
+
+		@Override
+		public void admit(BackendState target) {
+			StreamQueueTests.this.events.add("admit " + this.name);
+		}
+
+		@Override
+		public void refuse() {
+			StreamQueueTests.this.events.add("refuse " + this.name);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/gateway/src/test/java/org/skylarkstack/gateway/TeamLimitsTests.java
@@ -0,0 +1,91 @@
+package org.skylarkstack.gateway;
+
+import java.util.Map;
+import java.util.Set;
+
+import org.junit.jupiter.api.Test;
+import org.skylarkstack.peers.PeerUsage;
+import org.skylarkstack.peers.UsageReport;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests of {@link TeamLimits}.
+ */
+class TeamLimitsTests {
+
+	private static final long MILLI = 1_000_000;
+
+	private static final TeamPolicy TEAM = new TeamPolicy("team", Set.of("key"), null, true, 200, 1_000, 1_000);
+
+	private final PeerUsage peers = new PeerUsage();
+
+	private static GatewaySettings settings(boolean firstStart, double slack) {
+		return new GatewaySettings("vm", "a", firstStart, 5_000, 0.2, 54, 10, 8, 0.1, slack, 8);
+	}
+
+	private void report(long number, long taken, long nowMillis) {
+		this.peers.received(new UsageReport("peer", 1, number, Map.of("team", taken), Map.of(), Set.of()),
+				nowMillis * MILLI);
+	}
+
+	/** Guards against two daemons that each grant the whole limit. */
+	@Test
+	void whatPeersTookIsNotGrantedAgain() {
+		this.peers.registered(Set.of("peer"));
+		TeamLimits limits = new TeamLimits(settings(true, 0), this.peers);
+		report(1, 0, 0);
+		assertThat(limits.tryTake(TEAM, 100, 0)).isEqualTo(0);
+		report(2, 900, 10);
+		assertThat(limits.tryTake(TEAM, 500, 10 * MILLI)).isGreaterThan(0L);
+	}
+
+	/** Guards against a team that is refused within its limit because it uses one VM. */
+	@Test
+	void oneDaemonMayGrantTheWholeLimit() {
+		this.peers.registered(Set.of("peer"));
+		TeamLimits limits = new TeamLimits(settings(true, 0), this.peers);
+		report(1, 0, 0);
+		assertThat(limits.tryTake(TEAM, 1_000, 0)).isEqualTo(0);
+	}
+
+	/** Guards against the parts of a divided fleet that exceed the limit together. */
+	@Test
+	void unheardPeersKeepTheirShare() {
+		this.peers.registered(Set.of("peer"));
+		TeamLimits limits = new TeamLimits(settings(true, 0), this.peers);
+		long granted = 0;
+		for (long now = 0; now < 8_000; now += 10) {
+			granted += (limits.tryTake(TEAM, 10, now * MILLI) == 0) ? 10 : 0;
+		}
+		assertThat(granted).isAtMost((long) ((8 * 1_000 + 1_000) * 1.1 / 2));
+	}
+
+	/** Guards against a restarted daemon that forgets what its former life granted. */
+	@Test
+	void aRestartedDaemonStartsWithNothing() {
+		TeamLimits limits = new TeamLimits(settings(false, 0), this.peers);
+		assertThat(limits.tryTake(TEAM, 500, 0)).isGreaterThan(0L);
+		assertThat(limits.tryTake(TEAM, 500, 600 * MILLI)).isEqualTo(0);
+	}
+
+	/** Guards against refusals of waiting requests that never ran but used the limit. */
+	@Test
+	void whatDidNotRunIsGivenBack() {
+		TeamLimits limits = new TeamLimits(settings(true, 0), this.peers);
+		assertThat(limits.tryTake(TEAM, 1_000, 0)).isEqualTo(0);
+		assertThat(limits.tryTake(TEAM, 1_000, 0)).isGreaterThan(0L);
+		limits.giveBack(TEAM, 1_000);
+		assertThat(limits.tryTake(TEAM, 1_000, 0)).isEqualTo(0);
+	}
+
+	/** Guards against plain requests that are refused after one long prompt. */
+	@Test
+	void smallRequestsMayUseTheReserve() {
+		TeamLimits limits = new TeamLimits(settings(true, 100_000), this.peers);
+		assertThat(limits.tryTake(TEAM, 51_000, 0)).isEqualTo(0);
+		assertThat(limits.tryTake(TEAM, 5_000, 0)).isGreaterThan(0L);
+		assertThat(limits.tryTake(TEAM, 200, 0)).isEqualTo(0);
+	}
+
+}
--- /dev/null
+++ b/gateway/src/test/java/org/skylarkstack/peers/PeerUsageTests.java
@@ -0,0 +1,79 @@
+package org.skylarkstack.peers;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests of {@link PeerUsage} and {@link UsageCodec}.
+ */
+class PeerUsageTests {
+
+	private static final long MILLI = 1_000_000;
+
+	private final PeerUsage usage = new PeerUsage();
+
+	private static UsageReport report(String vm, long incarnation, long number, long units) {
+		return new UsageReport(vm, incarnation, number, Map.of("team", units),
+				Map.of("engine", List.of(new EngineRun(5_000, 100))), Set.of("moving"));
+	}
+
+	/** Guards against a report that is counted twice or out of order. */
+	@Test
+	void lateAndRepeatedReportsCountOnce() {
+		this.usage.received(report("a", 1, 1, 100), 0);
+		this.usage.received(report("a", 1, 3, 300), 0);
+		this.usage.received(report("a", 1, 2, 200), 0);
+		this.usage.received(report("a", 1, 3, 300), 0);
+		assertThat(this.usage.unitsFromPeers("team")).isEqualTo(200);
+	}
+
+	/**
+	 * Guards against a restarted peer whose smaller totals look like units given back.
+	 */
+	@Test
+	void aRestartedPeerCountsAnew() {
+		this.usage.received(report("a", 1, 5, 900), 0);
+		this.usage.received(report("a", 2, 1, 50), 0);
+		this.usage.received(report("a", 2, 2, 80), 0);
+		assertThat(this.usage.unitsFromPeers("team")).isEqualTo(30);
+	}
+
+	/** Guards against memory that a silent peer seems to occupy for ever. */
+	@Test
+	void memoryOfASilentPeerIsForgotten() {
+		this.usage.registered(Set.of("a"));
+		this.usage.received(report("a", 1, 1, 0), 0);
+		assertThat(this.usage.runsOfPeers("engine", 1_000 * MILLI)).hasSize(1);
+		assertThat(this.usage.heard(1_000 * MILLI)).isEqualTo(2);
+		assertThat(this.usage.runsOfPeers("engine", 1_300 * MILLI)).isEmpty();
+		assertThat(this.usage.heard(1_300 * MILLI)).isEqualTo(1);
+	}
+
+	/** Guards against two daemons of a divided fleet that both act for all. */
+	@Test
+	void onlyTheFirstOfAMajorityIsFirst() {
+		this.usage.registered(Set.of("a", "c", "d", "e"));
+		assertThat(this.usage.first("b", 0)).isFalse();
+		this.usage.received(report("c", 1, 1, 0), 0);
+		this.usage.received(report("d", 1, 1, 0), 0);
+		assertThat(this.usage.first("b", 0)).isTrue();
+		this.usage.received(report("a", 1, 1, 0), 0);
+		assertThat(this.usage.first("b", 0)).isFalse();
+	}
+
+	/** Guards against reports that arrive altered, and against foreign datagrams. */
+	@Test
+	void codecKeepsReportsAndRefusesOtherBytes() {
+		UsageReport report = report("a", 1, 1, 100);
+		assertThat(UsageCodec.decode(UsageCodec.encode(report))).isEqualTo(report);
+		assertThat(UsageCodec.decode("GET / HTTP/1.1".getBytes(StandardCharsets.UTF_8))).isNull();
+		assertThat(UsageCodec.decode(new byte[0])).isNull();
+	}
+
+}
