Keep prefill engines for bursts, bound waits, keep servers through outages of the store

Entries of all servers lapsed during an outage of the store and were missing for two seconds after it. Ruled out: decode speed (mean 2 to 4 s throughout).

--- a/gateway/src/main/java/org/skylarkstack/gateway/BackendDirectory.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/BackendDirectory.java
@@ -5,7 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
+
 import java.util.function.Predicate;
 
 import org.jspecify.annotations.Nullable;
@@ -40,14 +40,6 @@
 		this.states.remove(id);
 	}
 
-	/**
-	 * Keeps only the servers of a complete list.
-	 * @param ids the identifiers of the list
-	 */
-	public void retain(Set<String> ids) {
-		this.states.keySet().retainAll(ids);
-	}
-
 	/**
 	 * Returns the servers that may get new requests.
 	 * @param service the service
--- a/gateway/src/main/java/org/skylarkstack/gateway/EngineChooser.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/EngineChooser.java
@@ -25,10 +25,14 @@
 
 	private static final double JITTER = 0.01;
 
+	private static final double SMOOTHING = 0.2;
+
 	private final PeerUsage peers;
 
 	private final RandomGenerator random;
 
+	private double tokensPerMilli;
+
 	/**
 	 * Creates a chooser.
 	 * @param peers what peers use
@@ -39,6 +43,41 @@
 		this.random = random;
 	}
 
+	/**
+	 * Learns how fast an engine without other work processes a prompt.
+	 * @param tokens the tokens of the prompt
+	 * @param millis the time that it took, in milliseconds
+	 */
+	public void processed(long tokens, long millis) {
+		double latest = (double) tokens / Math.max(1, millis);
+		this.tokensPerMilli = (this.tokensPerMilli == 0) ? latest
+				: this.tokensPerMilli + SMOOTHING * (latest - this.tokensPerMilli);
+	}
+
+	/**
+	 * Returns the tokens that wait or are processed at an engine.
+	 * @param candidate the engine
+	 * @param nowNanos the present time
+	 * @return the tokens, by what all daemons report
+	 */
+	public long backlog(BackendState candidate, long nowNanos) {
+		long others = this.peers.runsOfPeers(candidate.node().id(), nowNanos)
+			.stream()
+			.mapToLong(EngineRun::tokens)
+			.sum();
+		return candidate.openTokens() + others;
+	}
+
+	/**
+	 * Estimates how long a prompt waits at an engine before it is processed.
+	 * @param candidate the engine
+	 * @param nowNanos the present time
+	 * @return the time in milliseconds; 0 while the speed is not known
+	 */
+	public long waitMillis(BackendState candidate, long nowNanos) {
+		return (this.tokensPerMilli == 0) ? 0 : (long) (backlog(candidate, nowNanos) / this.tokensPerMilli);
+	}
+
 	/**
 	 * Chooses an engine.
 	 * @param candidates the engines that may be used
@@ -65,11 +104,7 @@
 	}
 
 	private double occupancy(BackendState candidate, EngineProfile profile, long tokens, long nowNanos) {
-		long others = this.peers.runsOfPeers(candidate.node().id(), nowNanos)
-			.stream()
-			.mapToLong(EngineRun::tokens)
-			.sum();
-		return (double) (candidate.openTokens() + tokens + others) / Math.max(1, profile.kvTokens());
+		return (double) (backlog(candidate, nowNanos) + tokens) / Math.max(1, profile.kvTokens());
 	}
 
 }
--- a/gateway/src/main/java/org/skylarkstack/gateway/Exchange.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/Exchange.java
@@ -96,7 +96,9 @@
 	void release() {
 	}
 
-	private void endAttempt() {
+	/** Ends the present call and its attempt, if there is one. */
+	final void abandonCall() {
+		cancelCall();
 		Attempt last = this.attempt;
 		if (last != null) {
 			last.close();
@@ -200,6 +202,15 @@
 		return current != null && current.sent();
 	}
 
+	/**
+	 * Returns whether the present call may be running the request at a server.
+	 * @return whether it was sent and is more than a preparation
+	 */
+	final boolean mayBeRunning() {
+		Attempt last = this.attempt;
+		return callSent() && last != null && last.runs();
+	}
+
 	/**
 	 * Decides whether another attempt may follow.
 	 * @param counted whether the last attempt reached a server
@@ -296,8 +307,7 @@
 
 	private void callerGone() {
 		if (finish(ErrorType.CALLER_GONE.httpStatus(), ErrorType.CALLER_GONE.code())) {
-			cancelCall();
-			endAttempt();
+			abandonCall();
 			release();
 		}
 	}
@@ -306,12 +316,10 @@
 		if (this.over) {
 			return;
 		}
-		Attempt last = this.attempt;
-		if (callSent() && last != null && last.runs()) {
+		if (mayBeRunning()) {
 			effect(Verdict.MAY_HAVE_RUN);
 		}
-		cancelCall();
-		endAttempt();
+		abandonCall();
 		giveUp(new BackendFailure(BackendFailure.Kind.SILENT, this.verdict));
 	}
 
--- a/gateway/src/main/java/org/skylarkstack/gateway/RolePolicy.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/RolePolicy.java
@@ -14,7 +14,7 @@
 final class RolePolicy {
 
 	// Bursts double the usual load; the remaining prefill engines must take that.
-	private static final double MAX_PREFILL_BUSY_AFTER = 0.55;
+	private static final double MAX_PREFILL_BUSY_AFTER = 0.45;
 
 	private static final double MIN_DECODE_FILL = 0.4;
 
--- a/gateway/src/main/java/org/skylarkstack/gateway/StreamExchange.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/StreamExchange.java
@@ -1,6 +1,9 @@
 package org.skylarkstack.gateway;
 
 import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.util.concurrent.ScheduledFuture;
 
 import org.jspecify.annotations.Nullable;
 import org.skylarkstack.edge.BackendFailure;
@@ -28,9 +31,18 @@
 
 	private static final int MAX_PREFILLS = 2;
 
-	// Longest wait for room, as a multiple of the latency target; callers leave a little
-	// later than that.
-	private static final double WAIT_TARGETS = 2.8;
+	// Longest wait for room, as a multiple of the latency target.
+	private static final double WAIT_TARGETS = 2.0;
+
+	// Callers leave when a stream has not begun after four times its target; a refusal
+	// just
+	// before that tells them that nothing ran.
+	private static final double FIRST_EVENT_TARGETS = 3.6;
+
+	// A prompt that would wait longer than this goes to the decode engine, which
+	// processes
+	// it at half the speed.
+	private static final long MAX_PREFILL_WAIT_MILLIS = 400;
 
 	// Time that a prompt takes from admission to the first event.
 	private static final long PREFILL_NANOS = 250_000_000L;
@@ -52,6 +64,8 @@
 
 	private CallPlan.@Nullable KvSource source;
 
+	private @Nullable ScheduledFuture<?> firstEventBound;
+
 	private @Nullable BackendState reserved;
 
 	private @Nullable BackendState prefillEngine;
@@ -60,6 +74,10 @@
 
 	private int prefills;
 
+	private boolean prefillAlone;
+
+	private long prefillNanos;
+
 	private boolean started;
 
 	StreamExchange(GatewayParts parts, ExchangeContext context, CallerAnswer answer, OpenExchanges open,
@@ -74,9 +92,18 @@
 
 	@Override
 	void begin() {
+		long bound = (long) (FIRST_EVENT_TARGETS * context().route().targetMillis());
+		this.firstEventBound = parts().loop().schedule(this::firstEventOverdue, bound, TimeUnit.MILLISECONDS);
 		parts().admission().add(context().service(), this.profile, this);
 	}
 
+	private void firstEventOverdue() {
+		if (!over() && !this.started && verdict() == Verdict.NOT_RUN && !mayBeRunning()) {
+			abandonCall();
+			giveUp(null);
+		}
+	}
+
 	@Override
 	public EngineRun memory() {
 		return this.use.run();
@@ -147,6 +174,10 @@
 
 	@Override
 	void ended() {
+		ScheduledFuture<?> bound = this.firstEventBound;
+		if (bound != null) {
+			bound.cancel(false);
+		}
 		parts().admission().remove(context().service(), this);
 		unreserve();
 		endPrefill();
@@ -175,11 +206,13 @@
 		BackendState target = this.reserved;
 		BackendState engine = (this.prefills < MAX_PREFILLS && target != null)
 				? choosePrefill(target.node().dataCentre(), now) : null;
-		if (engine == null) {
+		if (engine == null || parts().engines().waitMillis(engine, now) > MAX_PREFILL_WAIT_MILLIS) {
 			decode(null);
 			return;
 		}
 		this.prefills++;
+		this.prefillAlone = parts().engines().backlog(engine, now) == 0;
+		this.prefillNanos = now;
 		this.prefillEngine = engine;
 		engine.reserve(this.promptUse);
 		send(engine, plan(engine, true, null, now), PREFILL_BOUND_MILLIS, new PrefillAttempt());
@@ -252,6 +285,11 @@
 				return;
 			}
 			server().succeeded();
+			if (StreamExchange.this.prefillAlone) {
+				parts().engines()
+					.processed(context().facts().promptTokens(),
+							(System.nanoTime() - StreamExchange.this.prefillNanos) / NANOS_PER_MILLI);
+			}
 			StreamExchange.this.source = new CallPlan.KvSource(server().node().address(), handle);
 			StreamExchange.this.sourceNanos = System.nanoTime();
 			decode(null);
