Let streams begin in time under overload; refuse late ones with a spread return

A second order followed one that was carried out 12 s late, and ten prompts were processed for the engine that switched again.

--- a/gateway/src/main/java/org/skylarkstack/gateway/BackendNode.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/BackendNode.java
@@ -17,6 +17,14 @@
 public record BackendNode(String id, long bornMillis, String service, InetSocketAddress address, String dataCentre,
 		int slots, boolean draining, Stage stage) {
 
+	/**
+	 * Returns a text that names this server in its present role.
+	 * @return the text
+	 */
+	public String roleKey() {
+		return this.id + "/" + this.stage;
+	}
+
 	/**
 	 * Returns whether another announcement is of the same life of the same server.
 	 * @param other the other announcement
--- a/gateway/src/main/java/org/skylarkstack/gateway/BackendState.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/BackendState.java
@@ -52,6 +52,8 @@
 
 	private boolean everFull;
 
+	private int fullInRow;
+
 	BackendState(BackendNode node) {
 		this.node = node;
 	}
@@ -106,6 +108,7 @@
 	/** Notes that a request was answered as it should be. */
 	public void succeeded() {
 		this.failuresInRow = 0;
+		this.fullInRow = 0;
 		this.failureShare -= SMOOTHING * this.failureShare;
 	}
 
@@ -150,7 +153,8 @@
 	 */
 	public void refusedFull(long nowNanos) {
 		this.everFull = true;
-		this.fullUntilNanos = nowNanos + FULL_NANOS;
+		this.fullUntilNanos = nowNanos + (FULL_NANOS << Math.min(this.fullInRow, MAX_AVOID_DOUBLINGS));
+		this.fullInRow++;
 	}
 
 	/**
--- a/gateway/src/main/java/org/skylarkstack/gateway/EngineRoom.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/EngineRoom.java
@@ -43,7 +43,7 @@
 		BackendState best = null;
 		double bestCost = Double.MAX_VALUE;
 		for (BackendState candidate : candidates) {
-			if (candidate.full(nowNanos) || this.peers.isChanging(candidate.node().id(), nowNanos)
+			if (candidate.full(nowNanos) || this.peers.isChanging(candidate.node().roleKey(), nowNanos)
 					|| (anyHealthy && candidate.avoided(nowNanos))) {
 				continue;
 			}
--- a/gateway/src/main/java/org/skylarkstack/gateway/Exchange.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/Exchange.java
@@ -236,7 +236,8 @@
 	final void giveUp(@Nullable BackendFailure failure) {
 		String server = (this.backend != null) ? this.backend.node().id() : "none";
 		if (this.verdict == Verdict.NOT_RUN) {
-			refuse(RouterException.retryAfter(ErrorType.NO_ENGINE, retryAfter(), this.context.service().name()));
+			refuse(RouterException.retryAfter(ErrorType.NO_ENGINE, Duration.ofMillis(retryAfterMillis()),
+					this.context.service().name()));
 		}
 		else if (failure != null && failure.kind() == BackendFailure.Kind.SILENT) {
 			refuse(RouterException.of(ErrorType.BACKEND_TIMEOUT, this.verdict, null, server, 0));
@@ -247,9 +248,13 @@
 		}
 	}
 
-	// Spread, so that callers that were refused together do not return together.
-	private Duration retryAfter() {
-		return Duration.ofMillis(RETRY_AFTER_MILLIS + this.parts.random().nextLong(RETRY_AFTER_MILLIS));
+	/**
+	 * Returns when a refused caller should return, spread so that callers that were
+	 * refused together do not return together.
+	 * @return the time in milliseconds
+	 */
+	long retryAfterMillis() {
+		return RETRY_AFTER_MILLIS + this.parts.random().nextLong(RETRY_AFTER_MILLIS);
 	}
 
 	private void refuse(RouterException failure) {
--- a/gateway/src/main/java/org/skylarkstack/gateway/PoolMeter.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/PoolMeter.java
@@ -11,10 +11,13 @@
  */
 final class PoolMeter {
 
-	private static final double SMOOTHING = 0.08;
+	private static final double SMOOTHING = 0.05;
 
 	private static final int MIN_SAMPLES = 12;
 
+	// Memory of decode engines fills slowly after a start.
+	private static final int MIN_SAMPLES_TO_PREFILL = 50;
+
 	private double busyPrefill;
 
 	private double decodeFill;
@@ -53,10 +56,11 @@
 
 	/**
 	 * Returns whether the average means something yet.
+	 * @param role the role that an engine might take
 	 * @return whether there are enough samples
 	 */
-	boolean settled() {
-		return this.samples >= MIN_SAMPLES;
+	boolean settled(Stage role) {
+		return this.samples >= ((role == Stage.PREFILL) ? MIN_SAMPLES_TO_PREFILL : MIN_SAMPLES);
 	}
 
 	PoolLoad load(int prefillEngines, int decodeEngines) {
--- a/gateway/src/main/java/org/skylarkstack/gateway/RoleDuty.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/RoleDuty.java
@@ -36,6 +36,8 @@
 
 	private static final long PAUSE_NANOS = 8_000_000_000L;
 
+	private static final int ACCEPTED = 202;
+
 	private static final long NANOS_PER_MILLI = 1_000_000;
 
 	private final String self;
@@ -103,12 +105,12 @@
 		List<BackendState> decode = this.state.backends().candidates(service, Stage.DECODE, (node) -> false);
 		PoolMeter meter = this.meters.computeIfAbsent(service, (name) -> new PoolMeter());
 		meter.sample(prefill, decode, profile, this.peers, now);
-		if (!meter.settled() || now - this.pausedUntilNanos < 0 || !this.peers.first(this.self, now)) {
+		if (now - this.pausedUntilNanos < 0 || !this.peers.first(this.self, now)) {
 			return;
 		}
 		PoolLoad load = meter.load(prefill.size(), decode.size());
 		Stage role = RolePolicy.decide(load);
-		if (role == null) {
+		if (role == null || !meter.settled(role)) {
 			return;
 		}
 		BackendState engine = idlest((role == Stage.DECODE) ? prefill : decode);
@@ -170,9 +172,10 @@
 			.addKeyValue("role", role)
 			.addKeyValue("fencingNumber", fencingNumber)
 			.log();
-		this.peers.changing(engine.id(), System.nanoTime());
+
+		this.pausedUntilNanos = System.nanoTime() + QUIET_NANOS;
 		this.meters.remove(service);
-		this.caller.call(this.orders.encode(engine, role, this.self, fencingNumber), new OrderOutcome(engine.id()));
+		this.caller.call(this.orders.encode(engine, role, this.self, fencingNumber), new OrderOutcome(engine));
 	}
 
 	/**
@@ -193,17 +196,18 @@
 	}
 
 	/**
-	 * Logs what an engine says to an order.
+	 * Notes what an engine says to an order. An order without an answer may be carried
+	 * out much later, so that no other one may follow until then.
 	 */
-	private static final class OrderOutcome implements BackendListener {
+	private final class OrderOutcome implements BackendListener {
 
-		private final String engine;
+		private final BackendNode engine;
 
 		private final ByteArrayOutputStream body = new ByteArrayOutputStream();
 
 		private int status;
 
-		OrderOutcome(String engine) {
+		OrderOutcome(BackendNode engine) {
 			this.engine = engine;
 		}
 
@@ -219,6 +223,10 @@
 
 		@Override
 		public void ended() {
+			RoleDuty.this.pausedUntilNanos = System.nanoTime() + PAUSE_NANOS;
+			if (this.status == ACCEPTED) {
+				RoleDuty.this.peers.changing(this.engine.roleKey(), System.nanoTime());
+			}
 			log("status-" + this.status);
 		}
 
@@ -230,7 +238,7 @@
 		private void log(String outcome) {
 			log.atInfo()
 				.addKeyValue("event", "role-order-answered")
-				.addKeyValue("server", this.engine)
+				.addKeyValue("server", this.engine.id())
 				.addKeyValue("outcome", outcome)
 				.log();
 		}
--- a/gateway/src/main/java/org/skylarkstack/gateway/StreamAdmission.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/StreamAdmission.java
@@ -30,6 +30,10 @@
 
 	private final AnswerLengths lengths = new AnswerLengths();
 
+	private final CallerBudgets budgets = new CallerBudgets();
+
+	private final StartTimes startTimes = new StartTimes();
+
 	private final Map<String, StreamQueue> queues = new HashMap<>();
 
 	private final Map<String, EngineProfile> profiles = new HashMap<>();
@@ -65,8 +69,16 @@
 		}
 	}
 
-	boolean isChanging(String engine, long nowNanos) {
-		return this.peers.isChanging(engine, nowNanos);
+	boolean isChanging(BackendNode engine, long nowNanos) {
+		return this.peers.isChanging(engine.roleKey(), nowNanos);
+	}
+
+	CallerBudgets budgets() {
+		return this.budgets;
+	}
+
+	StartTimes startTimes() {
+		return this.startTimes;
 	}
 
 	AnswerLengths lengths() {
--- a/gateway/src/main/java/org/skylarkstack/gateway/StreamExchange.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/StreamExchange.java
@@ -31,7 +31,14 @@
 
 	private static final int MAX_PREFILLS = 2;
 
-	// Longest wait for room, as a multiple of the latency target.
+	private static final long MIN_RETURN_MILLIS = 1_500;
+
+	private static final long MAX_RETURN_MILLIS = 4_000;
+
+	// Callers honour a time to return of up to a third of the time that they have left.
+	private static final long RETURN_PARTS = 3;
+
+	// Longest wait for room of a caller that came back, as a multiple of the target.
 	private static final double WAIT_TARGETS = 2.0;
 
 	// Callers leave when a stream has not begun after four times its target; a refusal
@@ -44,8 +51,8 @@
 	// it at half the speed.
 	private static final long MAX_PREFILL_WAIT_MILLIS = 400;
 
-	// Time that a prompt takes from admission to the first event.
-	private static final long PREFILL_NANOS = 250_000_000L;
+	// A caller is one that came back if it has used this part of the target before.
+	private static final double RETURNED_SHARE = 0.2;
 
 	// Longest time until an engine has processed a prompt, while another may be tried.
 	private static final long PREFILL_BOUND_MILLIS = 4_000;
@@ -72,6 +79,10 @@
 
 	private long sourceNanos;
 
+	private final long ageMillis;
+
+	private long admittedNanos;
+
 	private int prefills;
 
 	private boolean prefillAlone;
@@ -85,6 +96,7 @@
 		super(parts, context, answer, open);
 		this.profile = profile;
 		RequestFacts facts = context.facts();
+		this.ageMillis = parts.admission().budgets().ageMillis(context.route().name(), facts.timeoutMillis());
 		this.use = new EngineUse(Math.max(1, facts.promptTokens()),
 				parts.admission().lengths().expected(context.route().name(), facts), facts.outputTokens());
 		this.promptUse = new EngineUse(Math.max(1, facts.promptTokens()), 0, 0);
@@ -121,16 +133,34 @@
 
 	@Override
 	public long targetNanos() {
-		return context().arrivedNanos() + context().route().targetMillis() * NANOS_PER_MILLI - PREFILL_NANOS;
+		long left = context().route().targetMillis() - this.ageMillis
+				- parts().admission().startTimes().allowanceMillis();
+		return context().arrivedNanos() + left * NANOS_PER_MILLI;
 	}
 
 	@Override
 	public long untilNanos() {
-		return context().arrivedNanos() + (long) (WAIT_TARGETS * context().route().targetMillis()) * NANOS_PER_MILLI;
+		// A first attempt that can no longer meet its target does better to come back
+		// when
+		// the burst is over than to take the room of one that can.
+		return returned()
+				? context().arrivedNanos() + (long) (WAIT_TARGETS * context().route().targetMillis()) * NANOS_PER_MILLI
+				: targetNanos();
+	}
+
+	@Override
+	long retryAfterMillis() {
+		long spread = parts().random().nextLong(MIN_RETURN_MILLIS, MAX_RETURN_MILLIS);
+		return Math.min(spread, context().remainingMillis(System.nanoTime()) / RETURN_PARTS);
+	}
+
+	private boolean returned() {
+		return this.ageMillis > RETURNED_SHARE * context().route().targetMillis();
 	}
 
 	@Override
 	public void admit(BackendState engine) {
+		this.admittedNanos = System.nanoTime();
 		reserve(engine);
 		prefill();
 	}
@@ -222,7 +252,7 @@
 		List<BackendState> candidates = parts().state()
 			.backends()
 			.candidates(context().service().name(), Stage.PREFILL,
-					(node) -> tried().contains(node.id()) || parts().admission().isChanging(node.id(), now));
+					(node) -> tried().contains(node.id()) || parts().admission().isChanging(node, now));
 		return parts().engines().choose(candidates, this.profile, context().facts().promptTokens(), dataCentre, now);
 	}
 
@@ -333,6 +363,9 @@
 			StreamExchange.this.source = null;
 			if (!StreamExchange.this.started) {
 				StreamExchange.this.started = true;
+				parts().admission()
+					.startTimes()
+					.started((System.nanoTime() - StreamExchange.this.admittedNanos) / NANOS_PER_MILLI);
 				parts().metrics()
 					.firstByte(context().route().kind().name(), System.nanoTime() - context().arrivedNanos());
 				answer().start(facts().status(), parts().dialect().relayed(headers()));
--- a/gateway/src/main/java/org/skylarkstack/peers/PeerUsage.java
+++ b/gateway/src/main/java/org/skylarkstack/peers/PeerUsage.java
@@ -15,7 +15,7 @@
 	private static final long FRESH_NANOS = 1_200_000_000L;
 
 	// An engine drains and then needs some seconds to change its role.
-	private static final long CHANGE_NANOS = 9_000_000_000L;
+	private static final long CHANGE_NANOS = 16_000_000_000L;
 
 	private final Map<String, Received> reports = new HashMap<>();
 
