--- a/gateway/src/main/java/org/skylarkstack/gateway/Exchange.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/Exchange.java
@@ -80,6 +80,22 @@
 		return 0;
 	}
 
+	/**
+	 * Returns how long the request waited for room.
+	 * @return the time in milliseconds, negative if it was not admitted
+	 */
+	long waitedMillis() {
+		return 0;
+	}
+
+	/**
+	 * Returns how long the caller waited for the first event.
+	 * @return the time in milliseconds, negative if there was none
+	 */
+	long firstEventMillis() {
+		return -1;
+	}
+
 	/**
 	 * Returns the last event that the caller got.
 	 * @return the event's identifier, or {@code null}
@@ -300,6 +316,8 @@
 			.addKeyValue("expectedTokens", this.context.facts().expectedOutputTokens())
 			.addKeyValue("events", events())
 			.addKeyValue("lastEvent", lastEvent())
+			.addKeyValue("waitedMs", waitedMillis())
+			.addKeyValue("firstEventMs", firstEventMillis())
 			.addKeyValue("status", status)
 			.addKeyValue("code", code)
 			.addKeyValue("verdict", this.verdict.headerValue())
--- a/gateway/src/main/java/org/skylarkstack/gateway/StreamExchange.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/StreamExchange.java
@@ -83,6 +83,8 @@
 
 	private long admittedNanos;
 
+	private long startedNanos;
+
 	private int prefills;
 
 	private boolean prefillAlone;
@@ -197,6 +199,16 @@
 		return this.events.events();
 	}
 
+	@Override
+	long waitedMillis() {
+		return (this.admittedNanos == 0) ? -1 : (this.admittedNanos - context().arrivedNanos()) / NANOS_PER_MILLI;
+	}
+
+	@Override
+	long firstEventMillis() {
+		return (this.startedNanos == 0) ? -1 : (this.startedNanos - context().arrivedNanos()) / NANOS_PER_MILLI;
+	}
+
 	@Override
 	@Nullable String lastEvent() {
 		return this.events.lastEventId();
@@ -363,6 +375,7 @@
 			StreamExchange.this.source = null;
 			if (!StreamExchange.this.started) {
 				StreamExchange.this.started = true;
+				StreamExchange.this.startedNanos = System.nanoTime();
 				parts().admission()
 					.startTimes()
 					.started((System.nanoTime() - StreamExchange.this.admittedNanos) / NANOS_PER_MILLI);
