--- a/gateway/src/main/java/org/skylarkstack/gateway/StreamAdmission.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/StreamAdmission.java
@@ -1,6 +1,7 @@
 package org.skylarkstack.gateway;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -26,6 +27,13 @@
 
 	private final PeerUsage peers;
 
+	// Prompts wait here rather than at a prefill engine, so that memory for their answers
+	// is
+	// not reserved meanwhile and the most urgent one goes next.
+	private static final long MAX_PREFILL_WAIT_MILLIS = 300;
+
+	private final EngineChooser prefillEngines;
+
 	private final EngineRoom room;
 
 	private final AnswerLengths lengths = new AnswerLengths();
@@ -47,9 +55,12 @@
 	 * @param loop the event loop
 	 * @param backends the backend servers
 	 * @param peers what peers use
+	 * @param prefillEngines knows the load of prefill engines
 	 * @param dataCentre the data centre of this daemon
 	 */
-	public StreamAdmission(EventLoop loop, BackendDirectory backends, PeerUsage peers, String dataCentre) {
+	public StreamAdmission(EventLoop loop, BackendDirectory backends, PeerUsage peers, EngineChooser prefillEngines,
+			String dataCentre) {
+		this.prefillEngines = prefillEngines;
 		this.loop = loop;
 		this.backends = backends;
 		this.peers = peers;
@@ -95,6 +106,12 @@
 				profile, memory, System.nanoTime());
 	}
 
+	private boolean prefillBusy(String service, long now) {
+		List<BackendState> engines = this.backends.candidates(service, Stage.PREFILL, (node) -> isChanging(node, now));
+		return !engines.isEmpty() && engines.stream()
+			.allMatch((engine) -> this.prefillEngines.waitMillis(engine, now) > MAX_PREFILL_WAIT_MILLIS);
+	}
+
 	/** Moves the queues on. */
 	void advance() {
 		if (this.advancing) {
@@ -107,9 +124,10 @@
 			EngineProfile profile = this.profiles.get(entry.getKey());
 			if (profile != null && entry.getValue().size() > 0) {
 				entry.getValue()
-					.advance((stream) -> this.room.find(
-							this.backends.candidates(entry.getKey(), Stage.DECODE, (node) -> false), profile,
-							stream.memory(), now), now);
+					.advance((stream) -> prefillBusy(entry.getKey(), now) ? null
+							: this.room.find(this.backends.candidates(entry.getKey(), Stage.DECODE, (node) -> false),
+									profile, stream.memory(), now),
+							now);
 				anyWaiting |= entry.getValue().size() > 0;
 			}
 		}
--- a/gateway/src/main/java/org/skylarkstack/gateway/StreamExchange.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/StreamExchange.java
@@ -29,7 +29,7 @@
 	// used.
 	private static final double HANDLE_SHARE = 0.7;
 
-	private static final int MAX_PREFILLS = 2;
+	private static final int MAX_PREFILLS = 3;
 
 	private static final long MIN_RETURN_MILLIS = 1_500;
 
@@ -46,11 +46,6 @@
 	// before that tells them that nothing ran.
 	private static final double FIRST_EVENT_TARGETS = 3.6;
 
-	// A prompt that would wait longer than this goes to the decode engine, which
-	// processes
-	// it at half the speed.
-	private static final long MAX_PREFILL_WAIT_MILLIS = 400;
-
 	// A caller is one that came back if it has used this part of the target before.
 	private static final double RETURNED_SHARE = 0.2;
 
@@ -248,7 +243,7 @@
 		BackendState target = this.reserved;
 		BackendState engine = (this.prefills < MAX_PREFILLS && target != null)
 				? choosePrefill(target.node().dataCentre(), now) : null;
-		if (engine == null || parts().engines().waitMillis(engine, now) > MAX_PREFILL_WAIT_MILLIS) {
+		if (engine == null) {
 			decode(null);
 			return;
 		}
@@ -274,6 +269,16 @@
 				context().priority(), prefillOnly, from, last);
 	}
 
+	private void resume(@Nullable BackendFailure last) {
+		BackendState engine = parts().admission().find(context().service().name(), this.profile, tried(), memory());
+		if (engine == null) {
+			giveUp(last);
+			return;
+		}
+		reserve(engine);
+		prefill();
+	}
+
 	private void decode(@Nullable BackendFailure last) {
 		long now = System.nanoTime();
 		if (this.source != null
@@ -292,9 +297,17 @@
 		send(engine, plan(engine, false, this.source, now), DECODE_BOUND_MILLIS, new DecodeAttempt(this.source));
 	}
 
+	// A prompt that is processed at a decode engine delays the events of all streams
+	// there,
+	// so that a stream that goes on elsewhere takes the way through a prefill engine too.
 	private void retry(@Nullable BackendFailure failure, boolean counted) {
 		if (mayRetry(counted)) {
-			decode(failure);
+			if (this.source != null) {
+				decode(failure);
+			}
+			else {
+				resume(failure);
+			}
 		}
 		else {
 			giveUp(failure);
@@ -439,7 +452,7 @@
 			effect(Verdict.MAY_HAVE_RUN);
 			server().failed(System.nanoTime());
 			if (mayRetry(true)) {
-				decode(null);
+				resume(null);
 			}
 			else if (!StreamExchange.this.started && finish(facts.status(), 0)) {
 				release();
