--- a/gateway/src/main/java/org/skylarkstack/gateway/EngineRoom.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/EngineRoom.java
@@ -15,7 +15,7 @@
 final class EngineRoom {
 
 	// Answers differ from their expected lengths; the rest of the memory absorbs that.
-	private static final double FILL = 0.88;
+	private static final double FILL = 0.84;
 
 	private static final double REMOTE_PENALTY = 0.02;
 
--- a/gateway/src/main/java/org/skylarkstack/gateway/StreamExchange.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/StreamExchange.java
@@ -38,17 +38,13 @@
 	// Callers honour a time to return of up to a third of the time that they have left.
 	private static final long RETURN_PARTS = 3;
 
-	// Longest wait for room of a caller that came back, as a multiple of the target.
+	// Longest wait for room, as a multiple of the latency target.
 	private static final double WAIT_TARGETS = 2.0;
 
 	// Callers leave when a stream has not begun after four times its target; a refusal
-	// just
-	// before that tells them that nothing ran.
+	// just before that tells them that nothing ran.
 	private static final double FIRST_EVENT_TARGETS = 3.6;
 
-	// A caller is one that came back if it has used this part of the target before.
-	private static final double RETURNED_SHARE = 0.2;
-
 	// Longest time until an engine has processed a prompt, while another may be tried.
 	private static final long PREFILL_BOUND_MILLIS = 4_000;
 
@@ -137,12 +133,7 @@
 
 	@Override
 	public long untilNanos() {
-		// A first attempt that can no longer meet its target does better to come back
-		// when
-		// the burst is over than to take the room of one that can.
-		return returned()
-				? context().arrivedNanos() + (long) (WAIT_TARGETS * context().route().targetMillis()) * NANOS_PER_MILLI
-				: targetNanos();
+		return context().arrivedNanos() + (long) (WAIT_TARGETS * context().route().targetMillis()) * NANOS_PER_MILLI;
 	}
 
 	@Override
@@ -151,10 +142,6 @@
 		return Math.min(spread, context().remainingMillis(System.nanoTime()) / RETURN_PARTS);
 	}
 
-	private boolean returned() {
-		return this.ageMillis > RETURNED_SHARE * context().route().targetMillis();
-	}
-
 	@Override
 	public void admit(BackendState engine) {
 		this.admittedNanos = System.nanoTime();
