--- a/gateway/src/main/java/org/skylarkstack/edge/BackendCaller.java
+++ b/gateway/src/main/java/org/skylarkstack/edge/BackendCaller.java
@@ -1,8 +1,12 @@
 package org.skylarkstack.edge;
 
+import java.net.InetSocketAddress;
+import java.util.function.Consumer;
+
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -58,6 +62,23 @@
 		return connection;
 	}
 
+	/**
+	 * Finds out whether a server takes new connections.
+	 * @param address the server's address
+	 * @param done takes the finding
+	 */
+	public void probe(InetSocketAddress address, Consumer<Boolean> done) {
+		new Bootstrap().group(this.loop)
+			.channel(NioSocketChannel.class)
+			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, this.connectTimeoutMillis)
+			.handler(new ChannelInboundHandlerAdapter())
+			.connect(address)
+			.addListener((ChannelFuture future) -> {
+				done.accept(future.isSuccess());
+				future.channel().close();
+			});
+	}
+
 	private static final class Initializer extends ChannelInitializer<Channel> {
 
 		private final BackendConnection connection;
--- a/gateway/src/main/java/org/skylarkstack/gateway/Attempt.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/Attempt.java
@@ -116,6 +116,9 @@
 		if (close()) {
 			log(failure.kind().name());
 			server().failed(System.nanoTime());
+			if (failure.kind() == BackendFailure.Kind.BROKEN && runs()) {
+				checkForCrash();
+			}
 			if (!this.exchange.over()) {
 				this.exchange.clearBound();
 				broke(failure);
@@ -123,6 +126,24 @@
 		}
 	}
 
+	// A lost answer breaks a connection too; only a server that takes no new one has
+	// died.
+	private void checkForCrash() {
+		GatewayParts parts = this.exchange.parts();
+		long fingerprint = this.exchange.context().fingerprint();
+		parts.caller().probe(server().node().address(), (reachable) -> {
+			if (!reachable) {
+				parts.suspects().crashed(fingerprint, System.nanoTime());
+				log.atWarn()
+					.addKeyValue("event", "crash-suspect")
+					.addKeyValue("id", this.exchange.context().facts().requestId())
+					.addKeyValue("server", server().node().id())
+					.addKeyValue("fingerprint", Long.toHexString(fingerprint))
+					.log();
+			}
+		});
+	}
+
 	final void expire() {
 		if (!this.closed && !this.exchange.over()) {
 			Verdict verdict = (runs() && this.exchange.callSent()) ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN;
--- a/gateway/src/main/java/org/skylarkstack/gateway/BackendDirectory.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/BackendDirectory.java
@@ -5,7 +5,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-
 import java.util.function.Predicate;
 
 import org.jspecify.annotations.Nullable;
--- a/gateway/src/main/java/org/skylarkstack/gateway/Exchange.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/Exchange.java
@@ -300,6 +300,9 @@
 		if (timer != null) {
 			timer.cancel(false);
 		}
+		if (this.verdict == Verdict.RAN) {
+			this.parts.suspects().succeeded(this.context.fingerprint());
+		}
 		TeamPolicy team = this.context.team();
 		if (team != null && this.verdict == Verdict.NOT_RUN) {
 			this.parts.limits().giveBack(team, team.cost(this.context.facts().statedTokens()));
--- a/gateway/src/main/java/org/skylarkstack/gateway/ExchangeContext.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/ExchangeContext.java
@@ -1,5 +1,7 @@
 package org.skylarkstack.gateway;
 
+import java.util.zip.CRC32C;
+
 import org.jspecify.annotations.Nullable;
 import org.skylarkstack.edge.CallerRequest;
 
@@ -40,6 +42,17 @@
 		return Math.max(1, (deadlineNanos() - nowNanos) / NANOS_PER_MILLI);
 	}
 
+	/**
+	 * Returns a number that requests with the same path, caller and body share.
+	 * @return the fingerprint
+	 */
+	public long fingerprint() {
+		CRC32C low = new CRC32C();
+		low.update(this.request.body());
+		int high = (this.request.method() + ' ' + this.request.target() + ' ' + this.facts.key()).hashCode();
+		return ((long) high << Integer.SIZE) | low.getValue();
+	}
+
 	/**
 	 * Returns the rank of the request.
 	 * @return the rank, 0 being the most urgent
--- a/gateway/src/main/java/org/skylarkstack/gateway/Gateway.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/Gateway.java
@@ -24,6 +24,8 @@
 
 	private static final Duration RETRY_WHEN_FRESH = Duration.ofSeconds(1);
 
+	private static final Duration RETRY_OF_SUSPECT = Duration.ofSeconds(60);
+
 	private static final long MILLIS_PER_SECOND = 1_000;
 
 	private final GatewayParts parts;
@@ -83,6 +85,10 @@
 		if (policy == null) {
 			throw RouterException.retryAfter(ErrorType.NO_ENGINE, RETRY_WHEN_FRESH, route.name());
 		}
+		ExchangeContext context = new ExchangeContext(request, facts, route, team, policy, table.version(), now);
+		if (this.parts.suspects().refuses(context.fingerprint(), now)) {
+			throw RouterException.retryAfter(ErrorType.CRASH_SUSPECT, RETRY_OF_SUSPECT, CrashSuspects.MAX_CRASHES);
+		}
 		if (team != null) {
 			long waitNanos = this.parts.limits().tryTake(team, team.cost(facts.statedTokens()), now);
 			if (waitNanos > 0) {
@@ -90,7 +96,6 @@
 			}
 		}
 		this.parts.retries().request(policy.name(), now);
-		ExchangeContext context = new ExchangeContext(request, facts, route, team, policy, table.version(), now);
 		Exchange exchange = (route.kind() == RouteKind.STREAM && policy.engine() != null)
 				? new StreamExchange(this.parts, context, answer, this.open, policy.engine())
 				: new ServiceExchange(this.parts, context, answer, this.open);
--- a/gateway/src/main/java/org/skylarkstack/gateway/GatewayParts.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/GatewayParts.java
@@ -17,11 +17,12 @@
  * @param admission queues stream requests for room at engines
  * @param retries bounds further attempts
  * @param limits bounds what teams use
+ * @param suspects knows requests whose servers died
  * @param metrics counts what happens
  * @param random the source of randomness
  */
 public record GatewayParts(EventLoop loop, GatewayState state, WireDialect dialect, BackendCaller caller,
 		BackendChooser services, EngineChooser engines, StreamAdmission admission, RetryAllowance retries,
-		TeamLimits limits, GatewayMetrics metrics, RandomGenerator random) {
+		TeamLimits limits, CrashSuspects suspects, GatewayMetrics metrics, RandomGenerator random) {
 
 }
--- a/gateway/src/main/java/org/skylarkstack/gateway/ServiceExchange.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/ServiceExchange.java
@@ -48,8 +48,7 @@
 	}
 
 	// An error that the request itself causes comes from every server alike; only an
-	// error
-	// of a faulty server is worth another attempt.
+	// error of a faulty server is worth another attempt.
 	private boolean errsMoreThanOthers(BackendState server) {
 		double others = parts().state()
 			.backends()
--- a/gateway/src/main/java/org/skylarkstack/gateway/StreamAdmission.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/StreamAdmission.java
@@ -27,9 +27,8 @@
 
 	private final PeerUsage peers;
 
-	// Prompts wait here rather than at a prefill engine, so that memory for their answers
-	// is
-	// not reserved meanwhile and the most urgent one goes next.
+	// Prompts wait here rather than at a prefill engine, so that memory for their
+	// answers is not reserved meanwhile and the most urgent one goes next.
 	private static final long MAX_PREFILL_WAIT_MILLIS = 300;
 
 	private final EngineChooser prefillEngines;
--- a/gateway/src/main/java/org/skylarkstack/gateway/StreamExchange.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/StreamExchange.java
@@ -4,7 +4,6 @@
 import java.util.concurrent.TimeUnit;
 
 import io.netty.util.concurrent.ScheduledFuture;
-
 import org.jspecify.annotations.Nullable;
 import org.skylarkstack.edge.BackendFailure;
 import org.skylarkstack.edge.BackendListener;
@@ -285,8 +284,8 @@
 	}
 
 	// A prompt that is processed at a decode engine delays the events of all streams
-	// there,
-	// so that a stream that goes on elsewhere takes the way through a prefill engine too.
+	// there, so that a stream that goes on elsewhere takes the way through a prefill
+	// engine too.
 	private void retry(@Nullable BackendFailure failure, boolean counted) {
 		if (mayRetry(counted)) {
 			if (this.source != null) {
--- a/gateway/src/main/java/org/skylarkstack/peers/PeerUsage.java
+++ b/gateway/src/main/java/org/skylarkstack/peers/PeerUsage.java
@@ -49,8 +49,7 @@
 			before = former.report.unitsByTeam();
 		}
 		// What a peer took before it was first heard cannot be told from what it took
-		// long
-		// ago; limits start empty after a start for that reason.
+		// long ago; limits start empty after a start for that reason.
 		for (Map.Entry<String, Long> entry : report.unitsByTeam().entrySet()) {
 			long taken = entry.getValue() - before.getOrDefault(entry.getKey(), 0L);
 			this.unitsFromPeers.merge(entry.getKey(), taken, Long::sum);
@@ -135,6 +134,19 @@
 		return heard(nowNanos) > this.daemons / 2;
 	}
 
+	/**
+	 * Returns the deaths of servers that peers have seen.
+	 * @param fingerprint identifies the request that the servers ran
+	 * @return the number, by the last report of each peer
+	 */
+	public int crashesSeenByPeers(long fingerprint) {
+		int crashes = 0;
+		for (Received received : this.reports.values()) {
+			crashes += received.report.crashes().getOrDefault(fingerprint, 0);
+		}
+		return crashes;
+	}
+
 	/**
 	 * Returns the number of registered daemons, this one included.
 	 * @return the number
--- a/gateway/src/main/java/org/skylarkstack/peers/UsageCodec.java
+++ b/gateway/src/main/java/org/skylarkstack/peers/UsageCodec.java
@@ -37,6 +37,11 @@
 			for (String engine : report.changingEngines()) {
 				packer.packString(engine);
 			}
+			packer.packMapHeader(report.crashes().size());
+			for (Map.Entry<Long, Integer> entry : report.crashes().entrySet()) {
+				packer.packLong(entry.getKey());
+				packer.packInt(entry.getValue());
+			}
 			return packer.toByteArray();
 		}
 		catch (IOException ex) {
@@ -75,7 +80,7 @@
 				return null;
 			}
 			return new UsageReport(unpacker.unpackString(), unpacker.unpackLong(), unpacker.unpackLong(),
-					unpack(unpacker), unpackRuns(unpacker), unpackSet(unpacker));
+					unpack(unpacker), unpackRuns(unpacker), unpackSet(unpacker), unpackCrashes(unpacker));
 		}
 		catch (IOException | MessagePackException ex) {
 			// Anyone can send a datagram; the link counts what is not understood.
@@ -92,6 +97,15 @@
 		return values;
 	}
 
+	private static Map<Long, Integer> unpackCrashes(MessageUnpacker unpacker) throws IOException {
+		int size = unpacker.unpackMapHeader();
+		Map<Long, Integer> crashes = new HashMap<>();
+		for (int entry = 0; entry < size; entry++) {
+			crashes.put(unpacker.unpackLong(), unpacker.unpackInt());
+		}
+		return crashes;
+	}
+
 	private static Set<String> unpackSet(MessageUnpacker unpacker) throws IOException {
 		int size = unpacker.unpackArrayHeader();
 		Set<String> values = new HashSet<>();
--- a/gateway/src/main/java/org/skylarkstack/peers/UsageReport.java
+++ b/gateway/src/main/java/org/skylarkstack/peers/UsageReport.java
@@ -14,9 +14,10 @@
  * @param unitsByTeam the units that each team took at the sender since it started
  * @param runsByEngine the memory of each of the sender's requests at each engine
  * @param changingEngines the engines that the sender has ordered to change their role
+ * @param crashes the deaths of servers that the sender has seen, by request fingerprint
  */
 public record UsageReport(String vmId, long incarnation, long number, Map<String, Long> unitsByTeam,
-		Map<String, List<EngineRun>> runsByEngine, Set<String> changingEngines) {
+		Map<String, List<EngineRun>> runsByEngine, Set<String> changingEngines, Map<Long, Integer> crashes) {
 
 	/**
 	 * Creates a report.
@@ -25,6 +26,7 @@
 		unitsByTeam = Map.copyOf(unitsByTeam);
 		runsByEngine = Map.copyOf(runsByEngine);
 		changingEngines = Set.copyOf(changingEngines);
+		crashes = Map.copyOf(crashes);
 	}
 
 }
--- /dev/null
+++ b/gateway/src/test/java/org/skylarkstack/gateway/CrashSuspectsTests.java
@@ -0,0 +1,52 @@
+package org.skylarkstack.gateway;
+
+import java.util.Map;
+import java.util.Set;
+
+import org.junit.jupiter.api.Test;
+import org.skylarkstack.peers.PeerUsage;
+import org.skylarkstack.peers.UsageReport;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests of {@link CrashSuspects}.
+ */
+class CrashSuspectsTests {
+
+	private static final long SECOND = 1_000_000_000L;
+
+	private final PeerUsage peers = new PeerUsage();
+
+	private final CrashSuspects suspects = new CrashSuspects(this.peers);
+
+	/** Guards against a request that takes down one server after the other. */
+	@Test
+	void theSecondDeathIsTheLast() {
+		this.suspects.crashed(7, 0);
+		assertThat(this.suspects.refuses(7, 0)).isFalse();
+		this.suspects.crashed(7, SECOND);
+		assertThat(this.suspects.refuses(7, SECOND)).isTrue();
+		assertThat(this.suspects.refuses(8, SECOND)).isFalse();
+	}
+
+	/** Guards against a request that comes to another VM after each death. */
+	@Test
+	void deathsThatPeersSawCount() {
+		this.suspects.crashed(7, 0);
+		this.peers.received(new UsageReport("peer", 1, 1, Map.of(), Map.of(), Set.of(), Map.of(7L, 1)), 0);
+		assertThat(this.suspects.refuses(7, 0)).isTrue();
+	}
+
+	/** Guards against innocent requests that stay suspects. */
+	@Test
+	void aSuccessAndTimeClearARequest() {
+		this.suspects.crashed(7, 0);
+		this.suspects.succeeded(7);
+		this.suspects.crashed(7, 0);
+		assertThat(this.suspects.refuses(7, 0)).isFalse();
+		this.suspects.crashed(7, 0);
+		assertThat(this.suspects.refuses(7, 61 * SECOND)).isFalse();
+	}
+
+}
--- a/gateway/src/test/java/org/skylarkstack/gateway/EngineRoomTests.java
+++ b/gateway/src/test/java/org/skylarkstack/gateway/EngineRoomTests.java
@@ -42,7 +42,8 @@
 
 	private void peersOccupy(String engine, int requests) {
 		List<EngineRun> runs = java.util.Collections.nCopies(requests, REQUEST);
-		this.peers.received(new UsageReport("peer", 1, System.nanoTime(), Map.of(), Map.of(engine, runs), Set.of()), 0);
+		this.peers.received(
+				new UsageReport("peer", 1, System.nanoTime(), Map.of(), Map.of(engine, runs), Set.of(), Map.of()), 0);
 	}
 
 	/**
--- a/gateway/src/test/java/org/skylarkstack/peers/PeerUsageTests.java
+++ b/gateway/src/test/java/org/skylarkstack/peers/PeerUsageTests.java
@@ -20,7 +20,7 @@
 
 	private static UsageReport report(String vm, long incarnation, long number, long units) {
 		return new UsageReport(vm, incarnation, number, Map.of("team", units),
-				Map.of("engine", List.of(new EngineRun(5_000, 100))), Set.of("moving"));
+				Map.of("engine", List.of(new EngineRun(5_000, 100))), Set.of("moving"), Map.of(9L, 1));
 	}
 
 	/** Guards against a report that is counted twice or out of order. */
