Resume a stream whose engine falls silent

Ruled out: the caller's side (the last event was sent at once) and the engine (it ended with 200). A silent prefill engine is left after 1.5 s.

--- a/gateway/src/main/java/org/skylarkstack/gateway/Exchange.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/Exchange.java
@@ -190,8 +190,19 @@
 		next.bind(target);
 		this.call = this.parts.caller()
 			.call(this.parts.dialect().encode(target.node().address(), this.context.request(), plan), next);
-		if (boundMillis > 0) {
-			this.attemptBound = this.parts.loop().schedule(next::expire, boundMillis, TimeUnit.MILLISECONDS);
+		bound(next, boundMillis);
+	}
+
+	/**
+	 * Bounds the time until the present attempt shows a sign of life; replaces the former
+	 * bound.
+	 * @param bounded the attempt
+	 * @param millis the bound in milliseconds, or 0 for none
+	 */
+	final void bound(Attempt bounded, long millis) {
+		clearBound();
+		if (millis > 0) {
+			this.attemptBound = this.parts.loop().schedule(bounded::expire, millis, TimeUnit.MILLISECONDS);
 		}
 	}
 
--- a/gateway/src/main/java/org/skylarkstack/gateway/ServiceRoute.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/ServiceRoute.java
@@ -16,12 +16,15 @@
  * @param maxAttempts the most backend servers that one request may be sent to
  * @param timeoutMillis the longest time a caller is kept waiting, in milliseconds
  * @param targetMillis the latency target, in milliseconds
+ * @param gapMillis the longest pause between events of a stream that is on time, in
+ * milliseconds
  * @param priority the rank, 0 being the most urgent
  * @param open whether no key is needed
  * @param resumable whether streams may be resumed
  */
 public record ServiceRoute(String name, String host, String prefix, RouteKind kind, List<WeightedService> services,
-		int maxAttempts, long timeoutMillis, long targetMillis, int priority, boolean open, boolean resumable) {
+		int maxAttempts, long timeoutMillis, long targetMillis, long gapMillis, int priority, boolean open,
+		boolean resumable) {
 
 	/**
 	 * Creates a route.
--- a/gateway/src/main/java/org/skylarkstack/gateway/StreamExchange.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/StreamExchange.java
@@ -45,9 +45,11 @@
 	private static final double FIRST_EVENT_TARGETS = 3.6;
 
 	// Longest time until an engine has processed a prompt, while another may be tried.
-	private static final long PREFILL_BOUND_MILLIS = 4_000;
+	private static final long PREFILL_BOUND_MILLIS = 1_500;
 
-	private static final long DECODE_BOUND_MILLIS = 4_000;
+	// An engine that is cut off sends nothing more, and its connection does not tell. A
+	// stream that may be resumed goes on elsewhere after so many times its usual gap.
+	private static final int MAX_SILENT_GAPS = 5;
 
 	private static final long NANOS_PER_MILLI = 1_000_000;
 
@@ -280,12 +282,18 @@
 			return;
 		}
 		reserve(engine);
-		send(engine, plan(engine, false, this.source, now), DECODE_BOUND_MILLIS, new DecodeAttempt(this.source));
+		send(engine, plan(engine, false, this.source, now), silenceMillis(), new DecodeAttempt(this.source));
 	}
 
 	// A prompt that is processed at a decode engine delays the events of all streams
 	// there, so that a stream that goes on elsewhere takes the way through a prefill
 	// engine too.
+	// Only a stream that may be resumed is taken from an engine that is silent: any other
+	// one may still end well there.
+	private long silenceMillis() {
+		return context().route().repeatable() ? MAX_SILENT_GAPS * context().route().gapMillis() : 0;
+	}
+
 	private void retry(@Nullable BackendFailure failure, boolean counted) {
 		if (mayRetry(counted)) {
 			if (this.source != null) {
@@ -369,7 +377,6 @@
 			if (!facts().success() || !facts().signed()) {
 				return;
 			}
-			clearBound();
 			effect(Verdict.MAY_HAVE_RUN);
 			StreamExchange.this.source = null;
 			if (!StreamExchange.this.started) {
@@ -390,6 +397,7 @@
 				return;
 			}
 			if (facts().success() && facts().signed()) {
+				bound(this, silenceMillis());
 				answer().write(StreamExchange.this.events.take(part));
 				StreamExchange.this.use
 					.generated(StreamExchange.this.events.events() * StreamExchange.this.profile.tokensPerEvent());
--- a/gateway/src/test/java/org/skylarkstack/gateway/RoutingTableTests.java
+++ b/gateway/src/test/java/org/skylarkstack/gateway/RoutingTableTests.java
@@ -18,7 +18,7 @@
 	private static ServiceRoute route(String prefix, String service, int weight) {
 		return new ServiceRoute(prefix, "host.example", prefix, RouteKind.IDEMPOTENT,
 				List.of(new WeightedService(service, weight), new WeightedService("other", 100 - weight)), 2, 2_000,
-				300, 1, false, false);
+				300, 300, 1, false, false);
 	}
 
 	private static RoutingTable table(long version) {
