--- a/bench/src/test/java/org/skylarkstack/fleet/LocalFleetTests.java
+++ b/bench/src/test/java/org/skylarkstack/fleet/LocalFleetTests.java
@@ -15,6 +15,7 @@
 import org.skylarkstack.configuration.TicketChange;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 
 /**
  * Tests of {@link LocalFleet}.
@@ -50,7 +51,11 @@
 			assertThat(client.awaitReady(READY)).isAtLeast(0L);
 			CompletableFuture<FleetAnswer> broken = CompletableFuture
 				.supplyAsync(() -> client.sendUntilWithinRate(client.chat("vm-1", KEY, "model", "long", 2_000)));
-			await(() -> fleet.engine("decode").load().running() == 1);
+			await(() -> {
+				assertWithMessage("the answer that came before the kill: %s", broken.getNow(null)).that(broken.isDone())
+					.isFalse();
+				return fleet.engine("decode").load().running() == 1;
+			});
 			fleet.killDaemon("vm-1");
 			assertThat(broken.join().isWholeStream()).isFalse();
 			assertThat(fleet.vmIds()).containsExactly("vm-2");
