Correct comments; no code is changed

A comment on retries stood at the bound of silence, one on datagrams said counted where the code logs, and one gave five report periods instead of six.

--- a/gateway/src/main/java/org/skylarkstack/gateway/StreamExchange.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/StreamExchange.java
@@ -285,15 +285,15 @@
 		send(engine, plan(engine, false, this.source, now), silenceMillis(), new DecodeAttempt(this.source));
 	}
 
-	// A prompt that is processed at a decode engine delays the events of all streams
-	// there, so that a stream that goes on elsewhere takes the way through a prefill
-	// engine too.
 	// Only a stream that may be resumed is taken from an engine that is silent: any other
 	// one may still end well there.
 	private long silenceMillis() {
 		return context().route().repeatable() ? MAX_SILENT_GAPS * context().route().gapMillis() : 0;
 	}
 
+	// A prompt that is processed at a decode engine delays the events of all streams
+	// there, so that a stream that goes on elsewhere takes the way through a prefill
+	// engine too.
 	private void retry(@Nullable BackendFailure failure, boolean counted) {
 		if (mayRetry(counted)) {
 			if (this.source != null) {
--- a/gateway/src/main/java/org/skylarkstack/peers/PeerUsage.java
+++ b/gateway/src/main/java/org/skylarkstack/peers/PeerUsage.java
@@ -11,7 +11,7 @@
  */
 public final class PeerUsage {
 
-	// Five report periods; a peer that is silent for longer is treated as out of reach.
+	// Six report periods; a peer that is silent for longer is treated as out of reach.
 	private static final long FRESH_NANOS = 1_200_000_000L;
 
 	// An engine drains and then needs some seconds to change its role.
--- a/gateway/src/main/java/org/skylarkstack/peers/UsageCodec.java
+++ b/gateway/src/main/java/org/skylarkstack/peers/UsageCodec.java
@@ -83,7 +83,7 @@
 					unpack(unpacker), unpackRuns(unpacker), unpackSet(unpacker), unpackCrashes(unpacker));
 		}
 		catch (IOException | MessagePackException ex) {
-			// Anyone can send a datagram; the link counts what is not understood.
+			// Anyone can send a datagram; the link logs what is not understood.
 			return null;
 		}
 	}
