Relay usage reports between groups of daemons

Cause: a daemon sent its report to every other one, with a period of 33 ms for each. At 71 daemons that is 2.3 s, while reports older than 1.2 s do not count: each daemon kept to its own 71st of every team's limit and saw nothing of what the others held at an engine.

Ruled out: sending to all more often, whose cost grows with the fleet, and a longer life of reports, which hides a cut.

Reports go to the own group in each round; every second round each daemon outside gets the group's reports from one member, and the pairs move on. Runs of peers are indexed by engine.

--- a/gateway/src/main/java/org/skylarkstack/peers/PeerLink.java
+++ b/gateway/src/main/java/org/skylarkstack/peers/PeerLink.java
@@ -1,6 +1,7 @@
 package org.skylarkstack.peers;
 
-import java.net.InetSocketAddress;
+import java.io.ByteArrayOutputStream;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import java.util.concurrent.ThreadLocalRandom;
@@ -20,8 +21,9 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Exchanges usage reports with the other daemons by datagrams. Each daemon sends to all
- * others; the period grows with their number, so that a daemon's traffic stays bounded.
+ * Exchanges usage reports with the other daemons by datagrams, to those that
+ * {@link PeerGroups} names. The period grows with what a round sends, so that a daemon's
+ * traffic stays bounded.
  */
 public final class PeerLink {
 
@@ -29,8 +31,21 @@
 
 	private static final long PERIOD_MILLIS = 200;
 
-	// Bounds what a daemon sends to 30 datagrams a second.
-	private static final long MILLIS_PER_PEER = 33;
+	// Relays go out in every second round.
+	private static final int RELAY_ROUNDS = 2;
+
+	// A report that was received this long ago is still relayed; a process that restarts
+	// takes longer, so that a relay never brings back its former life.
+	private static final long RELAY_NANOS = 2 * PERIOD_MILLIS * 1_000_000;
+
+	// Largest datagram that no usual link divides.
+	private static final int MAX_DATAGRAM_BYTES = 1_400;
+
+	private static final long MAX_BYTES_PER_SECOND = 96 * 1024;
+
+	private static final long MILLIS_PER_SECOND = 1_000;
+
+	private final Peer self;
 
 	private final EventLoop loop;
 
@@ -38,60 +53,106 @@
 
 	private final LongFunction<UsageReport> reports;
 
-	private Collection<InetSocketAddress> peers = List.of();
+	private PeerGroups groups;
 
 	private @Nullable Channel channel;
 
-	private long number;
+	private long round;
 
 	/**
 	 * Creates a link.
+	 * @param self this daemon
 	 * @param loop the event loop
 	 * @param usage takes the reports of others
 	 * @param reports creates the report with a number
 	 */
-	public PeerLink(EventLoop loop, PeerUsage usage, LongFunction<UsageReport> reports) {
+	public PeerLink(Peer self, EventLoop loop, PeerUsage usage, LongFunction<UsageReport> reports) {
+		this.self = self;
 		this.loop = loop;
 		this.usage = usage;
 		this.reports = reports;
+		this.groups = new PeerGroups(self, List.of());
 	}
 
-	/**
-	 * Starts to listen and to send.
-	 * @param address the address of this daemon for peers
-	 */
-	public void start(InetSocketAddress address) {
+	/** Starts to listen and to send. */
+	public void start() {
 		this.channel = new Bootstrap().group(this.loop)
 			.channel(NioDatagramChannel.class)
 			.handler(new Receiver())
-			.bind(address)
+			.bind(this.self.address())
 			.syncUninterruptibly()
 			.channel();
-		scheduleReport();
+		scheduleRound(PERIOD_MILLIS);
 	}
 
 	/**
-	 * Sets who gets reports.
-	 * @param addresses the addresses of the other daemons
+	 * Sets the other daemons.
+	 * @param peers the other daemons
 	 */
-	public void peers(Collection<InetSocketAddress> addresses) {
-		this.peers = List.copyOf(addresses);
+	public void peers(Collection<Peer> peers) {
+		this.groups = new PeerGroups(this.self, peers);
 	}
 
-	private void scheduleReport() {
-		long period = Math.max(PERIOD_MILLIS, this.peers.size() * MILLIS_PER_PEER);
+	private void scheduleRound(long period) {
 		long jitter = ThreadLocalRandom.current().nextLong(period / 4);
-		this.loop.schedule(this::report, period - period / 8 + jitter, TimeUnit.MILLISECONDS);
+		this.loop.schedule(this::round, period - period / 8 + jitter, TimeUnit.MILLISECONDS);
 	}
 
-	private void report() {
+	private void round() {
 		Channel open = this.channel;
-		if (open != null && !this.peers.isEmpty()) {
-			byte[] bytes = UsageCodec.encode(this.reports.apply(++this.number));
-			this.peers.forEach((peer) -> open.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), peer)));
+		long sent = 0;
+		if (open != null) {
+			this.round++;
+			byte[] own = UsageCodec.encode(this.reports.apply(this.round));
+			sent += send(open, List.of(own), this.groups.near());
+			if (this.round % RELAY_ROUNDS == 0) {
+				sent += relay(open, own);
+			}
 			open.flush();
 		}
-		scheduleReport();
+		scheduleRound(Math.max(PERIOD_MILLIS, sent * MILLIS_PER_SECOND / MAX_BYTES_PER_SECOND));
+	}
+
+	private long relay(Channel open, byte[] own) {
+		List<Peer> targets = this.groups.relayTargets(this.round / RELAY_ROUNDS);
+		if (targets.isEmpty()) {
+			return 0;
+		}
+		List<byte[]> encoded = new ArrayList<>();
+		encoded.add(own);
+		long now = System.nanoTime();
+		for (Peer near : this.groups.near()) {
+			UsageReport report = this.usage.latest(near.vmId(), now - RELAY_NANOS);
+			if (report != null) {
+				encoded.add(UsageCodec.encode(report));
+			}
+		}
+		return send(open, datagrams(encoded), targets);
+	}
+
+	private static long send(Channel open, List<byte[]> datagrams, List<Peer> targets) {
+		long bytes = 0;
+		for (Peer target : targets) {
+			for (byte[] datagram : datagrams) {
+				open.write(new DatagramPacket(Unpooled.wrappedBuffer(datagram), target.address()));
+				bytes += datagram.length;
+			}
+		}
+		return bytes;
+	}
+
+	private static List<byte[]> datagrams(List<byte[]> reports) {
+		List<byte[]> datagrams = new ArrayList<>();
+		ByteArrayOutputStream current = new ByteArrayOutputStream();
+		for (byte[] report : reports) {
+			if (current.size() > 0 && current.size() + report.length > MAX_DATAGRAM_BYTES) {
+				datagrams.add(current.toByteArray());
+				current.reset();
+			}
+			current.writeBytes(report);
+		}
+		datagrams.add(current.toByteArray());
+		return datagrams;
 	}
 
 	/**
@@ -103,15 +164,19 @@
 		protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
 			byte[] bytes = new byte[packet.content().readableBytes()];
 			packet.content().readBytes(bytes);
-			UsageReport report = UsageCodec.decode(bytes);
-			if (report == null) {
+			List<UsageReport> received = UsageCodec.decode(bytes);
+			if (received.isEmpty()) {
 				log.atWarn()
 					.addKeyValue("event", "peer-datagram-unreadable")
 					.addKeyValue("from", packet.sender())
 					.log();
-				return;
 			}
-			PeerLink.this.usage.received(report, System.nanoTime());
+			long now = System.nanoTime();
+			for (UsageReport report : received) {
+				if (!report.vmId().equals(PeerLink.this.self.vmId())) {
+					PeerLink.this.usage.received(report, now);
+				}
+			}
 		}
 
 		@Override
--- a/gateway/src/main/java/org/skylarkstack/peers/PeerUsage.java
+++ b/gateway/src/main/java/org/skylarkstack/peers/PeerUsage.java
@@ -6,6 +6,8 @@
 import java.util.Map;
 import java.util.Set;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * Last report of each peer. Confined to one thread.
  */
@@ -19,10 +21,16 @@
 
 	private final Map<String, Received> reports = new HashMap<>();
 
+	// The reports that name an engine, by engine and by sender.
+	private final Map<String, Map<String, Received>> reportsByEngine = new HashMap<>();
+
 	private final Map<String, Long> unitsFromPeers = new HashMap<>();
 
 	private final Map<String, Long> changing = new HashMap<>();
 
+	// When a peer last said that it has ordered an engine to change its role.
+	private final Map<String, Long> changingAtPeers = new HashMap<>();
+
 	private int daemons = 1;
 
 	/**
@@ -32,6 +40,10 @@
 	public void registered(Set<String> peers) {
 		this.daemons = peers.size() + 1;
 		this.reports.keySet().retainAll(peers);
+		this.reportsByEngine.values().removeIf((senders) -> {
+			senders.keySet().retainAll(peers);
+			return senders.isEmpty();
+		});
 	}
 
 	/**
@@ -54,7 +66,38 @@
 			long taken = entry.getValue() - before.getOrDefault(entry.getKey(), 0L);
 			this.unitsFromPeers.merge(entry.getKey(), taken, Long::sum);
 		}
-		this.reports.put(report.vmId(), new Received(report, nowNanos));
+		if (former != null) {
+			forgetRuns(former.report);
+		}
+		report.changingEngines().forEach((engine) -> this.changingAtPeers.put(engine, nowNanos));
+		Received received = new Received(report, nowNanos);
+		this.reports.put(report.vmId(), received);
+		for (String engine : report.runsByEngine().keySet()) {
+			this.reportsByEngine.computeIfAbsent(engine, (key) -> new HashMap<>()).put(report.vmId(), received);
+		}
+	}
+
+	private void forgetRuns(UsageReport former) {
+		for (String engine : former.runsByEngine().keySet()) {
+			Map<String, Received> senders = this.reportsByEngine.get(engine);
+			if (senders != null) {
+				senders.remove(former.vmId());
+				if (senders.isEmpty()) {
+					this.reportsByEngine.remove(engine);
+				}
+			}
+		}
+	}
+
+	/**
+	 * Returns the last report of a peer.
+	 * @param vmId the peer
+	 * @param sinceNanos the earliest time at which it may have been received
+	 * @return the report, or {@code null} if none was received since
+	 */
+	@Nullable UsageReport latest(String vmId, long sinceNanos) {
+		Received received = this.reports.get(vmId);
+		return (received != null && received.nanos - sinceNanos >= 0) ? received.report : null;
 	}
 
 	/**
@@ -74,7 +117,7 @@
 	 */
 	public List<EngineRun> runsOfPeers(String engine, long nowNanos) {
 		List<EngineRun> runs = new ArrayList<>();
-		for (Received received : this.reports.values()) {
+		for (Received received : this.reportsByEngine.getOrDefault(engine, Map.of()).values()) {
 			if (nowNanos - received.nanos < FRESH_NANOS) {
 				runs.addAll(received.report.runsByEngine().getOrDefault(engine, List.of()));
 			}
@@ -111,12 +154,8 @@
 		if (changing(nowNanos).contains(engine)) {
 			return true;
 		}
-		for (Received received : this.reports.values()) {
-			if (nowNanos - received.nanos < FRESH_NANOS && received.report.changingEngines().contains(engine)) {
-				return true;
-			}
-		}
-		return false;
+		Long reported = this.changingAtPeers.get(engine);
+		return reported != null && nowNanos - reported < FRESH_NANOS;
 	}
 
 	/**
--- a/gateway/src/main/java/org/skylarkstack/peers/UsageCodec.java
+++ b/gateway/src/main/java/org/skylarkstack/peers/UsageCodec.java
@@ -9,7 +9,6 @@
 import java.util.Map;
 import java.util.Set;
 
-import org.jspecify.annotations.Nullable;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
@@ -70,22 +69,23 @@
 	}
 
 	/**
-	 * Decodes a report.
+	 * Decodes the reports of a datagram.
 	 * @param bytes the datagram
-	 * @return the report, or {@code null} if the datagram is none
+	 * @return the reports up to the first one that cannot be read
 	 */
-	static @Nullable UsageReport decode(byte[] bytes) {
+	static List<UsageReport> decode(byte[] bytes) {
+		List<UsageReport> reports = new ArrayList<>();
 		try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
-			if (unpacker.unpackInt() != FORMAT) {
-				return null;
+			while (unpacker.hasNext() && unpacker.unpackInt() == FORMAT) {
+				reports.add(new UsageReport(unpacker.unpackString(), unpacker.unpackLong(), unpacker.unpackLong(),
+						unpack(unpacker), unpackRuns(unpacker), unpackSet(unpacker), unpackCrashes(unpacker)));
 			}
-			return new UsageReport(unpacker.unpackString(), unpacker.unpackLong(), unpacker.unpackLong(),
-					unpack(unpacker), unpackRuns(unpacker), unpackSet(unpacker), unpackCrashes(unpacker));
 		}
 		catch (IOException | MessagePackException ex) {
-			// Anyone can send a datagram; the link logs what is not understood.
-			return null;
+			// Anyone can send a datagram; the link logs one that holds no report.
+			return reports;
 		}
+		return reports;
 	}
 
 	private static Map<String, Long> unpack(MessageUnpacker unpacker) throws IOException {
--- a/gateway/src/test/java/org/skylarkstack/peers/PeerUsageTests.java
+++ b/gateway/src/test/java/org/skylarkstack/peers/PeerUsageTests.java
@@ -1,5 +1,6 @@
 package org.skylarkstack.peers;
 
+import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
@@ -71,9 +72,51 @@
 	@Test
 	void codecKeepsReportsAndRefusesOtherBytes() {
 		UsageReport report = report("a", 1, 1, 100);
-		assertThat(UsageCodec.decode(UsageCodec.encode(report))).isEqualTo(report);
-		assertThat(UsageCodec.decode("GET / HTTP/1.1".getBytes(StandardCharsets.UTF_8))).isNull();
-		assertThat(UsageCodec.decode(new byte[0])).isNull();
+		assertThat(UsageCodec.decode(UsageCodec.encode(report))).containsExactly(report);
+		assertThat(UsageCodec.decode("GET / HTTP/1.1".getBytes(StandardCharsets.UTF_8))).isEmpty();
+		assertThat(UsageCodec.decode(new byte[0])).isEmpty();
+	}
+
+	/** Guards against a relayed datagram of which only the first report counts. */
+	@Test
+	void codecReadsSeveralReportsOfOneDatagram() {
+		UsageReport first = report("a", 1, 1, 100);
+		UsageReport second = report("b", 1, 7, 200);
+		ByteArrayOutputStream datagram = new ByteArrayOutputStream();
+		datagram.writeBytes(UsageCodec.encode(first));
+		datagram.writeBytes(UsageCodec.encode(second));
+		assertThat(UsageCodec.decode(datagram.toByteArray())).containsExactly(first, second).inOrder();
+	}
+
+	/**
+	 * Guards against memory that a request still seems to occupy at an engine which its
+	 * daemon has left.
+	 */
+	@Test
+	void aNewReportReplacesTheEnginesOfTheFormerOne() {
+		this.usage.received(report("a", 1, 1, 0), 0);
+		this.usage.received(
+				new UsageReport("a", 1, 2, Map.of(), Map.of("other", List.of(new EngineRun(7, 1))), Set.of(), Map.of()),
+				0);
+		assertThat(this.usage.runsOfPeers("engine", 0)).isEmpty();
+		assertThat(this.usage.runsOfPeers("other", 0)).containsExactly(new EngineRun(7, 1));
+	}
+
+	/** Guards against a lost daemon whose memory stays when it is unregistered. */
+	@Test
+	void anUnregisteredPeerOccupiesNothing() {
+		this.usage.received(report("a", 1, 1, 0), 0);
+		this.usage.received(report("b", 1, 1, 0), 0);
+		this.usage.registered(Set.of("b"));
+		assertThat(this.usage.runsOfPeers("engine", 0)).hasSize(1);
+	}
+
+	/** Guards against a relay that keeps the report of a lost daemon going round. */
+	@Test
+	void onlyAFreshReportIsGivenOn() {
+		this.usage.received(report("a", 1, 1, 0), 10 * MILLI);
+		assertThat(this.usage.latest("a", 10 * MILLI)).isNotNull();
+		assertThat(this.usage.latest("a", 11 * MILLI)).isNull();
 	}
 
 }
