Let a resumed stream use its prefill engine again

Cause: a stream that went on at another decode engine left out every engine it had used, also a prefill engine that had processed its prompt. With one or two prefill engines the decode engine processed the prompt itself, at half the speed, and delayed the events of all its streams.

Only prefill engines that failed the stream are left out now.

--- a/gateway/src/main/java/org/skylarkstack/gateway/StreamExchange.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/StreamExchange.java
@@ -1,6 +1,8 @@
 package org.skylarkstack.gateway;
 
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.util.concurrent.ScheduledFuture;
@@ -69,6 +71,10 @@
 
 	private @Nullable BackendState prefillEngine;
 
+	// Prefill engines that did not process the prompt. One that did may do so again when
+	// the stream goes on at another decode engine.
+	private final Set<String> failedPrefills = new HashSet<>();
+
 	private long sourceNanos;
 
 	private final long ageMillis;
@@ -247,7 +253,7 @@
 		List<BackendState> candidates = parts().state()
 			.backends()
 			.candidates(context().service().name(), Stage.PREFILL,
-					(node) -> tried().contains(node.id()) || parts().admission().isChanging(node, now));
+					(node) -> this.failedPrefills.contains(node.id()) || parts().admission().isChanging(node, now));
 		return parts().engines().choose(candidates, this.profile, context().facts().promptTokens(), dataCentre, now);
 	}
 
@@ -351,6 +357,7 @@
 		}
 
 		private void next(boolean counted) {
+			StreamExchange.this.failedPrefills.add(server().node().id());
 			if (counted && !parts().retries().tryTake(context().service().name(), System.nanoTime())) {
 				giveUp(null);
 				return;
