Split the stream exchange; sort its queue once; remove unused methods

StreamExchange kept the books of two engines and of a prefill result besides the course of the request. EngineReservations and PromptResult hold them now. StreamQueue sorted twice and the list of engines was built anew for each waiting stream. StreamAdmission.waiting and EdgeServer.openConnections had no caller.

--- a/gateway/src/main/java/org/skylarkstack/edge/EdgeServer.java
+++ b/gateway/src/main/java/org/skylarkstack/edge/EdgeServer.java
@@ -92,14 +92,6 @@
 		List.copyOf(this.connections).forEach(CallerConnection::closeIfIdle);
 	}
 
-	/**
-	 * Returns the number of open connections.
-	 * @return the number
-	 */
-	public int openConnections() {
-		return this.connections.size();
-	}
-
 	boolean isClosing() {
 		return this.closing;
 	}
--- /dev/null
+++ b/gateway/src/main/java/org/skylarkstack/gateway/PromptResult.java
@@ -0,0 +1,58 @@
+package org.skylarkstack.gateway;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Result of a processed prompt that a prefill engine keeps for a stream, until a decode
+ * engine takes it or it is released.
+ */
+final class PromptResult {
+
+	// Part of the time for which an engine keeps a result in which it may be used.
+	private static final double USABLE_SHARE = 0.7;
+
+	private static final long NANOS_PER_MILLI = 1_000_000;
+
+	private final long usableNanos;
+
+	private CallPlan.@Nullable KvSource source;
+
+	private long sinceNanos;
+
+	/**
+	 * Creates a holder without a result.
+	 * @param keptMillis how long an engine keeps a result, in milliseconds
+	 */
+	PromptResult(long keptMillis) {
+		this.usableNanos = (long) (USABLE_SHARE * keptMillis * NANOS_PER_MILLI);
+	}
+
+	void hold(CallPlan.KvSource held, long nowNanos) {
+		this.source = held;
+		this.sinceNanos = nowNanos;
+	}
+
+	CallPlan.@Nullable KvSource source() {
+		return this.source;
+	}
+
+	/**
+	 * Returns whether the engine may have dropped the result.
+	 * @param nowNanos the present time
+	 * @return whether there is a result that should not be used any more
+	 */
+	boolean stale(long nowNanos) {
+		return this.source != null && nowNanos - this.sinceNanos > this.usableNanos;
+	}
+
+	/**
+	 * Forgets the result.
+	 * @return the result, or {@code null} if there was none
+	 */
+	CallPlan.@Nullable KvSource take() {
+		CallPlan.KvSource held = this.source;
+		this.source = null;
+		return held;
+	}
+
+}
--- a/gateway/src/main/java/org/skylarkstack/gateway/StreamAdmission.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/StreamAdmission.java
@@ -21,16 +21,16 @@
 	// for.
 	private static final long POLL_MILLIS = 40;
 
+	// Prompts wait here rather than at a prefill engine, so that memory for their
+	// answers is not reserved meanwhile and the most urgent one goes next.
+	private static final long MAX_PREFILL_WAIT_MILLIS = 300;
+
 	private final EventLoop loop;
 
 	private final BackendDirectory backends;
 
 	private final PeerUsage peers;
 
-	// Prompts wait here rather than at a prefill engine, so that memory for their
-	// answers is not reserved meanwhile and the most urgent one goes next.
-	private static final long MAX_PREFILL_WAIT_MILLIS = 300;
-
 	private final EngineChooser prefillEngines;
 
 	private final EngineRoom room;
@@ -95,11 +95,6 @@
 		return this.lengths;
 	}
 
-	int waiting(ServicePolicy service) {
-		StreamQueue queue = this.queues.get(service.name());
-		return (queue != null) ? queue.size() : 0;
-	}
-
 	@Nullable BackendState find(String service, EngineProfile profile, Set<String> tried, EngineRun memory) {
 		return this.room.find(this.backends.candidates(service, Stage.DECODE, (node) -> tried.contains(node.id())),
 				profile, memory, System.nanoTime());
@@ -122,11 +117,10 @@
 		for (Map.Entry<String, StreamQueue> entry : this.queues.entrySet()) {
 			EngineProfile profile = this.profiles.get(entry.getKey());
 			if (profile != null && entry.getValue().size() > 0) {
+				List<BackendState> engines = this.backends.candidates(entry.getKey(), Stage.DECODE, (node) -> false);
 				entry.getValue()
 					.advance((stream) -> prefillBusy(entry.getKey(), now) ? null
-							: this.room.find(this.backends.candidates(entry.getKey(), Stage.DECODE, (node) -> false),
-									profile, stream.memory(), now),
-							now);
+							: this.room.find(engines, profile, stream.memory(), now), now);
 				anyWaiting |= entry.getValue().size() > 0;
 			}
 		}
--- a/gateway/src/main/java/org/skylarkstack/gateway/StreamExchange.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/StreamExchange.java
@@ -26,10 +26,6 @@
  */
 final class StreamExchange extends Exchange implements WaitingStream {
 
-	// Part of the time for which an engine keeps a prefill result in which it may be
-	// used.
-	private static final double HANDLE_SHARE = 0.7;
-
 	private static final int MAX_PREFILLS = 3;
 
 	private static final long MIN_RETURN_MILLIS = 1_500;
@@ -59,24 +55,16 @@
 
 	private final EventBuffer events = new EventBuffer();
 
-	private final EngineUse use;
-
-	private final EngineUse promptUse;
+	private final EngineReservations reservations;
 
-	private CallPlan.@Nullable KvSource source;
+	private final PromptResult promptResult;
 
 	private @Nullable ScheduledFuture<?> firstEventBound;
 
-	private @Nullable BackendState reserved;
-
-	private @Nullable BackendState prefillEngine;
-
 	// Prefill engines that did not process the prompt. One that did may do so again when
 	// the stream goes on at another decode engine.
 	private final Set<String> failedPrefills = new HashSet<>();
 
-	private long sourceNanos;
-
 	private final long ageMillis;
 
 	private long admittedNanos;
@@ -97,9 +85,9 @@
 		this.profile = profile;
 		RequestFacts facts = context.facts();
 		this.ageMillis = parts.admission().budgets().ageMillis(context.route().name(), facts.timeoutMillis());
-		this.use = new EngineUse(Math.max(1, facts.promptTokens()),
-				parts.admission().lengths().expected(context.route().name(), facts), facts.outputTokens());
-		this.promptUse = new EngineUse(Math.max(1, facts.promptTokens()), 0, 0);
+		this.reservations = new EngineReservations(facts,
+				parts.admission().lengths().expected(context.route().name(), facts));
+		this.promptResult = new PromptResult(profile.handleMillis());
 	}
 
 	@Override
@@ -118,7 +106,7 @@
 
 	@Override
 	public EngineRun memory() {
-		return this.use.run();
+		return this.reservations.memory();
 	}
 
 	@Override
@@ -152,7 +140,7 @@
 	@Override
 	public void admit(BackendState engine) {
 		this.admittedNanos = System.nanoTime();
-		reserve(engine);
+		this.reservations.reserve(engine);
 		prefill();
 	}
 
@@ -161,28 +149,6 @@
 		giveUp(null);
 	}
 
-	private void reserve(BackendState engine) {
-		unreserve();
-		this.reserved = engine;
-		engine.reserve(this.use);
-	}
-
-	private void unreserve() {
-		BackendState engine = this.reserved;
-		if (engine != null) {
-			this.reserved = null;
-			engine.unreserve(this.use);
-		}
-	}
-
-	private void endPrefill() {
-		BackendState engine = this.prefillEngine;
-		if (engine != null) {
-			this.prefillEngine = null;
-			engine.unreserve(this.promptUse);
-		}
-	}
-
 	@Override
 	long events() {
 		return this.events.events();
@@ -210,16 +176,15 @@
 			bound.cancel(false);
 		}
 		parts().admission().remove(context().service(), this);
-		unreserve();
-		endPrefill();
+		this.reservations.endDecode();
+		this.reservations.endPrefill();
 		parts().loop().execute(parts().admission()::advance);
 	}
 
 	@Override
 	void release() {
-		CallPlan.KvSource held = this.source;
+		CallPlan.KvSource held = this.promptResult.take();
 		if (held != null) {
-			this.source = null;
 			parts().caller().call(parts().dialect().encodeRelease(held), new Ignored());
 		}
 	}
@@ -234,7 +199,7 @@
 
 	private void prefill() {
 		long now = System.nanoTime();
-		BackendState target = this.reserved;
+		BackendState target = this.reservations.decodeEngine();
 		BackendState engine = (this.prefills < MAX_PREFILLS && target != null)
 				? choosePrefill(target.node().dataCentre(), now) : null;
 		if (engine == null) {
@@ -244,8 +209,7 @@
 		this.prefills++;
 		this.prefillAlone = parts().engines().backlog(engine, now) == 0;
 		this.prefillNanos = now;
-		this.prefillEngine = engine;
-		engine.reserve(this.promptUse);
+		this.reservations.prefillAt(engine);
 		send(engine, plan(engine, true, null, now), PREFILL_BOUND_MILLIS, new PrefillAttempt());
 	}
 
@@ -269,17 +233,16 @@
 			giveUp(last);
 			return;
 		}
-		reserve(engine);
+		this.reservations.reserve(engine);
 		prefill();
 	}
 
 	private void decode(@Nullable BackendFailure last) {
 		long now = System.nanoTime();
-		if (this.source != null
-				&& now - this.sourceNanos > HANDLE_SHARE * this.profile.handleMillis() * NANOS_PER_MILLI) {
+		if (this.promptResult.stale(now)) {
 			release();
 		}
-		BackendState engine = this.reserved;
+		BackendState engine = this.reservations.decodeEngine();
 		if (engine == null || tried().contains(engine.node().id())) {
 			engine = parts().admission().find(context().service().name(), this.profile, tried(), memory());
 		}
@@ -287,8 +250,9 @@
 			giveUp(last);
 			return;
 		}
-		reserve(engine);
-		send(engine, plan(engine, false, this.source, now), silenceMillis(), new DecodeAttempt(this.source));
+		this.reservations.reserve(engine);
+		CallPlan.KvSource source = this.promptResult.source();
+		send(engine, plan(engine, false, source, now), silenceMillis(), new DecodeAttempt(source));
 	}
 
 	// Only a stream that may be resumed is taken from an engine that is silent: any other
@@ -302,7 +266,7 @@
 	// engine too.
 	private void retry(@Nullable BackendFailure failure, boolean counted) {
 		if (mayRetry(counted)) {
-			if (this.source != null) {
+			if (this.promptResult.source() != null) {
 				decode(failure);
 			}
 			else {
@@ -330,7 +294,7 @@
 
 		@Override
 		void answered(AnswerFacts facts) {
-			endPrefill();
+			StreamExchange.this.reservations.endPrefill();
 			String handle = facts.success() ? parts().dialect().prefillHandle(body()) : null;
 			if (handle == null) {
 				if (!facts.notExecuted()) {
@@ -345,14 +309,14 @@
 					.processed(context().facts().promptTokens(),
 							(System.nanoTime() - StreamExchange.this.prefillNanos) / NANOS_PER_MILLI);
 			}
-			StreamExchange.this.source = new CallPlan.KvSource(server().node().address(), handle);
-			StreamExchange.this.sourceNanos = System.nanoTime();
+			StreamExchange.this.promptResult.hold(new CallPlan.KvSource(server().node().address(), handle),
+					System.nanoTime());
 			decode(null);
 		}
 
 		@Override
 		void broke(BackendFailure failure) {
-			endPrefill();
+			StreamExchange.this.reservations.endPrefill();
 			next(failure.kind() != BackendFailure.Kind.UNREACHABLE);
 		}
 
@@ -385,7 +349,7 @@
 				return;
 			}
 			effect(Verdict.MAY_HAVE_RUN);
-			StreamExchange.this.source = null;
+			StreamExchange.this.promptResult.take();
 			if (!StreamExchange.this.started) {
 				StreamExchange.this.started = true;
 				StreamExchange.this.startedNanos = System.nanoTime();
@@ -406,7 +370,7 @@
 			if (facts().success() && facts().signed()) {
 				bound(this, silenceMillis());
 				answer().write(StreamExchange.this.events.take(part));
-				StreamExchange.this.use
+				StreamExchange.this.reservations
 					.generated(StreamExchange.this.events.events() * StreamExchange.this.profile.tokensPerEvent());
 			}
 			else {
@@ -473,7 +437,7 @@
 			effect(failure.verdict());
 			if (counted && this.from != null) {
 				// The engine may have taken the prefill result; it cannot be used again.
-				StreamExchange.this.source = null;
+				StreamExchange.this.promptResult.take();
 			}
 			brokeMidway(failure, counted);
 		}
--- a/gateway/src/main/java/org/skylarkstack/gateway/StreamQueue.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/StreamQueue.java
@@ -45,13 +45,9 @@
 	 * @param nowNanos the present time
 	 */
 	void advance(Function<WaitingStream, @Nullable BackendState> room, long nowNanos) {
-		for (WaitingStream stream : ordered(nowNanos)) {
-			if (nowNanos - stream.untilNanos() >= 0) {
-				this.waiting.remove(stream);
-				stream.refuse();
-			}
-		}
-		for (WaitingStream stream : ordered(nowNanos)) {
+		List<WaitingStream> order = ordered(nowNanos);
+		order.removeIf((stream) -> refuseExpired(stream, nowNanos));
+		for (WaitingStream stream : order) {
 			BackendState engine = room.apply(stream);
 			if (engine != null) {
 				this.waiting.remove(stream);
@@ -63,6 +59,15 @@
 		}
 	}
 
+	private boolean refuseExpired(WaitingStream stream, long nowNanos) {
+		boolean expired = nowNanos - stream.untilNanos() >= 0;
+		if (expired) {
+			this.waiting.remove(stream);
+			stream.refuse();
+		}
+		return expired;
+	}
+
 	private List<WaitingStream> ordered(long nowNanos) {
 		List<WaitingStream> order = new ArrayList<>(this.waiting);
 		order.sort(Comparator.comparing((WaitingStream stream) -> nowNanos - stream.targetNanos() >= 0)
