--- a/gateway/src/main/java/org/skylarkstack/gateway/EngineChooser.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/EngineChooser.java
@@ -8,8 +8,9 @@
 import org.skylarkstack.peers.PeerUsage;
 
 /**
- * Chooses the model engine of a request: the one with the least estimated tokens for its
- * memory, with a small preference for a data centre and a penalty for recent failures.
+ * Chooses the prefill engine of a request: of a sample, the one with the least estimated
+ * tokens for its memory, with a small preference for a data centre and a penalty for
+ * recent failures.
  *
  * <p>
  * Answers the load pattern of prompts of very different lengths: the tokens, not the
@@ -91,7 +92,13 @@
 			String dataCentre, long nowNanos) {
 		BackendState best = null;
 		double bestCost = Double.MAX_VALUE;
-		for (BackendState candidate : candidates) {
+		int compared = 0;
+		int sample = EngineSample.size(candidates.size(), this.peers.daemons());
+		for (BackendState candidate : EngineSample.shuffled(candidates, this.random)) {
+			if (compared == sample) {
+				break;
+			}
+			compared += candidate.avoided(nowNanos) ? 0 : 1;
 			double cost = occupancy(candidate, profile, tokens, nowNanos) + FAILURE_PENALTY * candidate.failureShare()
 					+ (candidate.node().dataCentre().equals(dataCentre) ? 0 : REMOTE_PENALTY)
 					+ (candidate.avoided(nowNanos) ? AVOID_PENALTY : 0) + JITTER * this.random.nextDouble();
--- a/gateway/src/main/java/org/skylarkstack/gateway/EngineRoom.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/EngineRoom.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.random.RandomGenerator;
 
 import org.jspecify.annotations.Nullable;
 import org.skylarkstack.peers.EngineRun;
@@ -25,13 +26,16 @@
 
 	private final String dataCentre;
 
-	EngineRoom(PeerUsage peers, String dataCentre) {
+	private final RandomGenerator random;
+
+	EngineRoom(PeerUsage peers, String dataCentre, RandomGenerator random) {
 		this.peers = peers;
 		this.dataCentre = dataCentre;
+		this.random = random;
 	}
 
 	/**
-	 * Finds the engine with the most room.
+	 * Finds the engine with the most room of a sample of those that have enough.
 	 * @param candidates the engines that may be used
 	 * @param profile the profile of the engines
 	 * @param memory the memory of the request
@@ -42,7 +46,12 @@
 		boolean anyHealthy = candidates.stream().anyMatch((candidate) -> !candidate.avoided(nowNanos));
 		BackendState best = null;
 		double bestCost = Double.MAX_VALUE;
-		for (BackendState candidate : candidates) {
+		int compared = 0;
+		int sample = EngineSample.size(candidates.size(), this.peers.daemons());
+		for (BackendState candidate : EngineSample.shuffled(candidates, this.random)) {
+			if (compared == sample) {
+				break;
+			}
 			if (candidate.full(nowNanos) || this.peers.isChanging(candidate.node().roleKey(), nowNanos)
 					|| (anyHealthy && candidate.avoided(nowNanos))) {
 				continue;
@@ -55,6 +64,7 @@
 			if (!empty && (peak > FILL || runs.size() > profile.slots())) {
 				continue;
 			}
+			compared++;
 			double cost = peak + FAILURE_PENALTY * candidate.failureShare()
 					+ (candidate.node().dataCentre().equals(this.dataCentre) ? 0 : REMOTE_PENALTY);
 			if (cost < bestCost) {
--- /dev/null
+++ b/gateway/src/main/java/org/skylarkstack/gateway/EngineSample.java
@@ -0,0 +1,58 @@
+package org.skylarkstack.gateway;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.random.RandomGenerator;
+
+/**
+ * Decides how many of the engines that suit a request are compared before one is chosen.
+ *
+ * <p>
+ * What other daemons hold is known some hundred milliseconds late. A few daemons can all
+ * compare every engine. The more daemons place requests meanwhile, the fewer engines each
+ * of them compares, drawn anew for each request, as otherwise they would all choose the
+ * one that was the emptiest a moment ago.
+ *
+ * <p>
+ * Answers the load pattern of a large fleet in a burst: prompts pile up at one engine and
+ * are preempted there while others are idle.
+ */
+final class EngineSample {
+
+	// So many daemons may all choose the best of all engines.
+	private static final int DAEMONS_THAT_COMPARE_ALL = 8;
+
+	private static final int MIN_SIZE = 2;
+
+	private EngineSample() {
+	}
+
+	/**
+	 * Returns how many engines to compare.
+	 * @param engines the number of engines
+	 * @param daemons the number of daemons
+	 * @return the number, at least 2
+	 */
+	static int size(int engines, int daemons) {
+		int share = (int) Math.ceil((double) engines * DAEMONS_THAT_COMPARE_ALL / Math.max(1, daemons));
+		return Math.max(MIN_SIZE, share);
+	}
+
+	/**
+	 * Returns the engines in random order.
+	 * @param engines the engines
+	 * @param random the source of randomness
+	 * @return a list of the same engines
+	 */
+	static List<BackendState> shuffled(List<BackendState> engines, RandomGenerator random) {
+		List<BackendState> order = new ArrayList<>(engines);
+		for (int left = order.size(); left > 1; left--) {
+			int drawn = random.nextInt(left);
+			BackendState last = order.get(left - 1);
+			order.set(left - 1, order.get(drawn));
+			order.set(drawn, last);
+		}
+		return order;
+	}
+
+}
--- a/gateway/src/main/java/org/skylarkstack/gateway/StreamAdmission.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/StreamAdmission.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
 
 import io.netty.channel.EventLoop;
 import org.jspecify.annotations.Nullable;
@@ -56,14 +57,15 @@
 	 * @param peers what peers use
 	 * @param prefillEngines knows the load of prefill engines
 	 * @param dataCentre the data centre of this daemon
+	 * @param random the source of randomness
 	 */
 	public StreamAdmission(EventLoop loop, BackendDirectory backends, PeerUsage peers, EngineChooser prefillEngines,
-			String dataCentre) {
+			String dataCentre, RandomGenerator random) {
 		this.prefillEngines = prefillEngines;
 		this.loop = loop;
 		this.backends = backends;
 		this.peers = peers;
-		this.room = new EngineRoom(peers, dataCentre);
+		this.room = new EngineRoom(peers, dataCentre, random);
 	}
 
 	void add(ServicePolicy service, EngineProfile profile, WaitingStream stream) {
--- a/gateway/src/test/java/org/skylarkstack/gateway/EngineRoomTests.java
+++ b/gateway/src/test/java/org/skylarkstack/gateway/EngineRoomTests.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
+import java.util.SplittableRandom;
 
 import org.junit.jupiter.api.Test;
 import org.skylarkstack.peers.EngineRun;
@@ -24,7 +25,7 @@
 
 	private final PeerUsage peers = new PeerUsage();
 
-	private final EngineRoom room = new EngineRoom(this.peers, "a");
+	private final EngineRoom room = new EngineRoom(this.peers, "a", new SplittableRandom(1));
 
 	private final BackendState near = engine("near", "a");
 
--- /dev/null
+++ b/gateway/src/test/java/org/skylarkstack/gateway/EngineSampleTests.java
@@ -0,0 +1,109 @@
+package org.skylarkstack.gateway;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+import org.junit.jupiter.api.Test;
+import org.skylarkstack.peers.EngineRun;
+import org.skylarkstack.peers.PeerUsage;
+import org.skylarkstack.peers.UsageReport;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests of {@link EngineSample} and of the choices that use it.
+ */
+class EngineSampleTests {
+
+	private static final EngineProfile PROFILE = new EngineProfile(64, 65_000, 50, 500);
+
+	private static final EngineRun REQUEST = new EngineRun(5_200, 100);
+
+	private static final int ENGINES = 27;
+
+	// Requests that fit into the memory of an engine with some left for longer answers.
+	private static final int FITTING = 10;
+
+	private static List<BackendState> engines() {
+		List<BackendState> engines = new ArrayList<>();
+		for (int number = 0; number < ENGINES; number++) {
+			engines.add(new BackendState(new BackendNode("engine-" + number, 1, "s",
+					new InetSocketAddress("127.0.0.1", 1), "a", 64, false, Stage.DECODE)));
+		}
+		return engines;
+	}
+
+	private static PeerUsage fleet(int daemons) {
+		PeerUsage peers = new PeerUsage();
+		Set<String> names = new HashSet<>();
+		for (int number = 1; number < daemons; number++) {
+			names.add("vm-" + number);
+		}
+		peers.registered(names);
+		return peers;
+	}
+
+	/** Guards against a small fleet that overlooks its best engine. */
+	@Test
+	void aSmallFleetComparesAllEngines() {
+		assertThat(EngineSample.size(10, 7)).isAtLeast(10);
+		assertThat(EngineSample.size(27, 71)).isEqualTo(4);
+		assertThat(EngineSample.size(1, 350)).isEqualTo(2);
+	}
+
+	/** Guards against an engine that is lost or doubled when the order is drawn. */
+	@Test
+	void theOrderHoldsEachEngineOnce() {
+		List<BackendState> engines = engines();
+		assertThat(EngineSample.shuffled(engines, new SplittableRandom(3))).containsExactlyElementsIn(engines);
+	}
+
+	/**
+	 * Replays a burst: twelve daemons of 71 place a prompt before any report of the
+	 * others arrives. Guards against an engine that gets more than its memory holds
+	 * because it was the emptiest one.
+	 */
+	@Test
+	void aBurstOfUnknownPlacementsIsSpread() {
+		for (int seed = 0; seed < 20; seed++) {
+			Map<String, Integer> placed = new HashMap<>();
+			for (int daemon = 0; daemon < 12; daemon++) {
+				PeerUsage peers = fleet(71);
+				Map<String, List<EngineRun>> runs = new HashMap<>();
+				for (int number = 1; number < ENGINES; number++) {
+					runs.put("engine-" + number, List.of(REQUEST, REQUEST));
+				}
+				peers.received(new UsageReport("vm-1", 1, 1, Map.of(), runs, Set.of(), Map.of()), 0);
+				EngineRoom room = new EngineRoom(peers, "a", new SplittableRandom(100L * seed + daemon));
+				BackendState found = room.find(engines(), PROFILE, REQUEST, 0);
+				placed.merge(Objects.requireNonNull(found).node().id(), 1, Integer::sum);
+			}
+			int most = placed.values().stream().mapToInt(Integer::intValue).max().orElse(0);
+			assertThat(most).isAtMost(FITTING);
+		}
+	}
+
+	/**
+	 * Guards against a refusal while an engine outside the first sample has room.
+	 */
+	@Test
+	void theOnlyEngineWithRoomIsFound() {
+		PeerUsage peers = fleet(71);
+		Map<String, List<EngineRun>> runs = new HashMap<>();
+		for (int number = 1; number < ENGINES; number++) {
+			runs.put("engine-" + number, java.util.Collections.nCopies(12, REQUEST));
+		}
+		peers.received(new UsageReport("vm-1", 1, 1, Map.of(), runs, Set.of(), Map.of()), 0);
+		EngineRoom room = new EngineRoom(peers, "a", new SplittableRandom(5));
+		BackendState found = room.find(engines(), PROFILE, REQUEST, 0);
+		assertThat(Objects.requireNonNull(found).node().id()).isEqualTo("engine-0");
+	}
+
+}
