--- a/gateway/src/main/java/org/skylarkstack/edge/EdgeServer.java
+++ b/gateway/src/main/java/org/skylarkstack/edge/EdgeServer.java
@@ -62,15 +62,12 @@
 	 * @param acceptors the group whose loop accepts connections
 	 */
 	public void listen(InetSocketAddress address, EventLoopGroup acceptors) {
-		this.listener = new ServerBootstrap().group(acceptors)
+		this.listener = Listening.bind(new ServerBootstrap().group(acceptors)
 			.channel(NioServerSocketChannel.class)
 			.option(ChannelOption.SO_BACKLOG, BACKLOG)
 			.option(ChannelOption.SO_REUSEADDR, true)
 			.childOption(ChannelOption.TCP_NODELAY, true)
-			.childHandler(new Initializer())
-			.bind(address)
-			.syncUninterruptibly()
-			.channel();
+			.childHandler(new Initializer()), address);
 		this.loop.scheduleWithFixedDelay(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
--- a/gateway/src/main/java/org/skylarkstack/peers/PeerLink.java
+++ b/gateway/src/main/java/org/skylarkstack/peers/PeerLink.java
@@ -17,6 +17,7 @@
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import org.jspecify.annotations.Nullable;
+import org.skylarkstack.edge.Listening;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -76,12 +77,9 @@
 
 	/** Starts to listen and to send. */
 	public void start() {
-		this.channel = new Bootstrap().group(this.loop)
-			.channel(NioDatagramChannel.class)
-			.handler(new Receiver())
-			.bind(this.self.address())
-			.syncUninterruptibly()
-			.channel();
+		this.channel = Listening.bind(
+				new Bootstrap().group(this.loop).channel(NioDatagramChannel.class).handler(new Receiver()),
+				this.self.address());
 		scheduleRound(PERIOD_MILLIS);
 	}
 
--- a/kernel/src/main/java/org/skylarkstack/kernel/ErrorType.java
+++ b/kernel/src/main/java/org/skylarkstack/kernel/ErrorType.java
@@ -115,6 +115,9 @@
 	/** A settings file is not valid. */
 	SETTINGS_INVALID(3001, 500, "api_error", Verdict.NOT_RUN, "settings are not valid: %s"),
 
+	/** An address is in use, or not one of this VM. */
+	LISTEN_FAILED(3002, 500, "api_error", Verdict.NOT_RUN, "cannot listen at %s: %s"),
+
 	/** A fault in this program. */
 	INTERNAL(9001, 500, "api_error", Verdict.MAY_HAVE_RUN, "internal error");
 
