--- a/gateway/src/main/java/org/skylarkstack/gateway/BackendChooser.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/BackendChooser.java
@@ -1,6 +1,7 @@
 package org.skylarkstack.gateway;
 
 import java.util.List;
+import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
 
 import org.jspecify.annotations.Nullable;
@@ -12,7 +13,8 @@
  *
  * <p>
  * Answers the load pattern of several daemons that decide alone over servers of unequal
- * speed: small random differences keep them from choosing the same server at once.
+ * speed: small random differences keep them from choosing the same server at once. A
+ * server that falls behind would reset connections beyond what it accepts from all.
  */
 public final class BackendChooser {
 
@@ -24,28 +26,38 @@
 
 	private final String dataCentre;
 
+	private final IntSupplier daemons;
+
 	private final RandomGenerator random;
 
 	/**
 	 * Creates a chooser.
 	 * @param dataCentre the data centre of this daemon
+	 * @param daemons returns the number of daemons that share the servers' connections
 	 * @param random the source of randomness
 	 */
-	public BackendChooser(String dataCentre, RandomGenerator random) {
+	public BackendChooser(String dataCentre, IntSupplier daemons, RandomGenerator random) {
 		this.dataCentre = dataCentre;
+		this.daemons = daemons;
 		this.random = random;
 	}
 
 	/**
 	 * Chooses a server.
 	 * @param candidates the servers that may be used
+	 * @param service their service
 	 * @param nowNanos the present time
-	 * @return the server, or {@code null} if there is none
+	 * @return the server, or {@code null} if there is none, or if this daemon has its
+	 * share of connections open to each
 	 */
-	public @Nullable BackendState choose(List<BackendState> candidates, long nowNanos) {
+	public @Nullable BackendState choose(List<BackendState> candidates, ServicePolicy service, long nowNanos) {
+		int share = service.connectionShare(this.daemons.getAsInt());
 		BackendState best = null;
 		double bestCost = Double.MAX_VALUE;
 		for (BackendState candidate : candidates) {
+			if (candidate.open() >= share) {
+				continue;
+			}
 			double cost = cost(candidate, nowNanos);
 			if (cost < bestCost) {
 				best = candidate;
--- a/gateway/src/main/java/org/skylarkstack/gateway/BackendState.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/BackendState.java
@@ -89,6 +89,14 @@
 		this.trialOpen = false;
 	}
 
+	/**
+	 * Returns the requests of this daemon that the server has not ended.
+	 * @return their number, which is that of the connections to it
+	 */
+	public int open() {
+		return this.open;
+	}
+
 	/**
 	 * Notes whether an answer was an error of the server.
 	 * @param error whether it was
