Take the round of relays from the time of day

Cause: found by reading. Each daemon counted its own rounds, so that the members of a group did not agree which daemon outside each of them relays to; a daemon outside then got a group's reports from several members in one round and from none in about a third of the rounds, (1 - 1/12)^12.

The number of the round comes from the time of day. Clocks that differ only shift the pairs. Small fleets, which are one group, are not affected.

--- a/gateway/src/main/java/org/skylarkstack/peers/PeerGroups.java
+++ b/gateway/src/main/java/org/skylarkstack/peers/PeerGroups.java
@@ -13,8 +13,9 @@
  * Within a group each daemon sends its own report to every other one. Between groups each
  * daemon relays the reports that it holds of its own group, and the members of the group
  * share that work: in each round every daemon outside gets the reports from exactly one
- * member. The round moves the pairs on by one, so that a member that is lost withholds
- * its group from a daemon for one round only.
+ * member. Daemons take the number of the round from the time of day, so that they agree
+ * on it as far as their clocks do. The round moves the pairs on by one, so that a member
+ * that is lost withholds its group from a daemon for one round only.
  *
  * <p>
  * With groups of the square root of the fleet, a daemon sends about twice that many
--- a/gateway/src/main/java/org/skylarkstack/peers/PeerLink.java
+++ b/gateway/src/main/java/org/skylarkstack/peers/PeerLink.java
@@ -142,7 +142,9 @@
 	}
 
 	private long relay(Channel open, byte[] own) {
-		List<Peer> targets = this.groups.relayTargets(this.round / RELAY_ROUNDS);
+		// Clocks that differ change who relays to whom for a while, nothing else.
+		long shared = System.currentTimeMillis() / (RELAY_ROUNDS * PERIOD_MILLIS);
+		List<Peer> targets = this.groups.relayTargets(shared);
 		if (targets.isEmpty()) {
 			return 0;
 		}
