Wait for loans and late responses instead of refusing a team

Cause: LendingTeamLimiter waited at most 8 ms for tokens, whatever the reason of the shortage. Two reasons are not the team's: no rate slot or loan has arrived yet (after a start or a change of the owners), and the owner responds later than 8 ms (a busy VM). Both ended as error 1101, "over its token rate". Shown by two tests that failed on: firstRequestWaitsForTheRateSlot (a store that takes 150 ms a call) and requestWaitsForALateResponseOfTheOwner (messages that take 30 ms).

Change: tryReserve distinguishes REFUSED (the owner has decided, and its slices have settled) from UNDECIDED; ReserveWait decides how long either waits: 8 ms, and two heartbeat periods. At most 64 requests wait. A refusal is logged with its reason (tokens_refused). The simulation uses the same ReserveWait.

Ruled out: a change of the invariants; no tokens are created, only the wait changes. After: both tests pass, and so does teamThatHasUsedItsTokensIsRefusedSoon.

--- a/bench/src/main/java/org/skylarkstack/bench/LimitSimulation.java
+++ b/bench/src/main/java/org/skylarkstack/bench/LimitSimulation.java
@@ -29,7 +29,7 @@
 	 * a run.
 	 */
 	static final LendingTerms SHORT_LEASE_TERMS = new LendingTerms(20 * SECOND_NANOS, 4 * SECOND_NANOS, SECOND_NANOS,
-			5 * SECOND_NANOS, 2 * SECOND_NANOS, 0.01, 8_000_000L);
+			5 * SECOND_NANOS, 2 * SECOND_NANOS, 0.01, 8_000_000L, 2 * SECOND_NANOS);
 
 	/**
 	 * Largest relative deviation of a clock from real time. Two clocks differ by at most
--- a/bench/src/main/java/org/skylarkstack/bench/SimulatedVm.java
+++ b/bench/src/main/java/org/skylarkstack/bench/SimulatedVm.java
@@ -10,6 +10,7 @@
 import org.skylarkstack.configuration.Team;
 import org.skylarkstack.limit.RateSlotClaimer;
 import org.skylarkstack.limit.ReserveOutcome;
+import org.skylarkstack.limit.ReserveWait;
 import org.skylarkstack.limit.ShardSet;
 import org.skylarkstack.limit.TokenGrant;
 import org.skylarkstack.limit.TokenLending;
@@ -157,7 +158,7 @@
 				return;
 			}
 			PendingRequest request = new PendingRequest(teamId, tokens, listener,
-					clockNanos() + this.fleet.terms().grantWaitNanos());
+					new ReserveWait(this.fleet.terms(), clockNanos()));
 			attempt(this.daemon, request);
 		});
 	}
@@ -168,19 +169,31 @@
 			return;
 		}
 		long now = clockNanos();
-		ReserveOutcome outcome = current.lending.tryReserve(team, request.tokens(), request.deadlineNanos() - now > 0,
-				now);
+		long responseNanos = request.reserveWait().responseNanos(now);
+		ReserveOutcome outcome = current.lending.tryReserve(team, request.tokens(), responseNanos > 0, now);
 		switch (outcome.kind()) {
 			case RESERVED -> request.listener().reserved(current.incarnation);
-			case REFUSED -> request.listener().refused();
 			case ASKED -> {
 				this.pendingRequests.put(outcome.requestId(), request);
-				long remainingNanos = (long) ((request.deadlineNanos() - now) / this.clockRate) + 1;
-				this.fleet.events().after(remainingNanos, () -> whenRunning(() -> retry(current, outcome.requestId())));
+				after(responseNanos, () -> retry(current, outcome.requestId()));
+			}
+			default -> {
+				long pauseNanos = request.reserveWait().pauseNanos(outcome, now);
+				if (pauseNanos > 0) {
+					after(pauseNanos, () -> attempt(current, request));
+				}
+				else {
+					request.listener().refused();
+				}
 			}
 		}
 	}
 
+	// Runs an action after a time on the clock of this VM.
+	private void after(long nanos, Runnable action) {
+		this.fleet.events().after((long) (nanos / this.clockRate) + 1, () -> whenRunning(action));
+	}
+
 	private void retry(Daemon current, long requestId) {
 		PendingRequest request = (current == this.daemon) ? this.pendingRequests.remove(requestId) : null;
 		if (request != null) {
@@ -200,7 +213,7 @@
 	}
 
 	private record PendingRequest(String teamId, long tokens, LimitSimulation.RequestListener listener,
-			long deadlineNanos) {
+			ReserveWait reserveWait) {
 
 	}
 
@@ -305,7 +318,7 @@
 			MembershipView next = this.membership.view();
 			if (!next.equals(this.view)) {
 				this.view = next;
-				this.lending.setOwners(ShardSet.owners(next));
+				this.lending.setOwners(ShardSet.owners(next), clockNanos());
 			}
 		}
 
--- a/runtime/src/main/java/org/skylarkstack/limit/LendingTeamLimiter.java
+++ b/runtime/src/main/java/org/skylarkstack/limit/LendingTeamLimiter.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
 import java.util.random.RandomGenerator;
 
@@ -44,6 +45,10 @@
 
 	private static final long CLOSE_TIMEOUT_SECONDS = 2;
 
+	// Bounds the threads that wait while no loan arrives, for example because the store
+	// is down when the fleet starts.
+	private static final int MAX_WAITING = 64;
+
 	private final Object lock = new Object();
 
 	private final LendingTerms terms;
@@ -60,6 +65,8 @@
 
 	private final Map<Long, CountDownLatch> responseLatches = new HashMap<>();
 
+	private final AtomicInteger waiting = new AtomicInteger();
+
 	private final ScheduledExecutorService tickExecutor;
 
 	private final ScheduledExecutorService slotExecutor;
@@ -134,7 +141,7 @@
 		List<String> owners = ShardSet.owners(view);
 		refreshPeers();
 		synchronized (this.lock) {
-			this.lending.setOwners(owners);
+			this.lending.setOwners(owners, this.time.nanos());
 		}
 	}
 
@@ -188,28 +195,34 @@
 		if (tokens > limits.burstTokens()) {
 			throw new RouterException(ErrorType.REQUEST_ABOVE_BURST, tokens, team.id(), limits.burstTokens());
 		}
-		long deadline = nowNanos + this.terms.grantWaitNanos();
+		boolean mayWait = this.waiting.incrementAndGet() <= MAX_WAITING;
+		try {
+			reserve(limits, tokens, mayWait, nowNanos);
+		}
+		finally {
+			this.waiting.decrementAndGet();
+		}
+		return new TokenReservation(team.id(), tokens);
+	}
+
+	private void reserve(Team team, long tokens, boolean mayWait, long nowNanos) {
+		ReserveWait wait = new ReserveWait(this.terms, nowNanos);
 		long now = nowNanos;
 		while (true) {
 			CountDownLatch response = new CountDownLatch(1);
 			ReserveOutcome outcome;
 			synchronized (this.lock) {
-				outcome = this.lending.tryReserve(limits, tokens, deadline - now > 0, now);
+				outcome = this.lending.tryReserve(team, tokens, mayWait && wait.responseNanos(now) > 0, now);
 				if (outcome.kind() == ReserveOutcome.Kind.ASKED) {
 					this.responseLatches.put(outcome.requestId(), response);
 				}
 			}
 			switch (outcome.kind()) {
 				case RESERVED -> {
-					return new TokenReservation(team.id(), tokens);
-				}
-				case REFUSED -> {
-					if (outcome.waitNanos() > deadline - now) {
-						throw refusal(team, outcome.waitNanos());
-					}
-					LockSupport.parkNanos(this, outcome.waitNanos());
+					return;
 				}
-				case ASKED -> await(response, deadline - now);
+				case ASKED -> await(response, wait.responseNanos(now));
+				default -> pause(team, outcome, mayWait ? wait.pauseNanos(outcome, now) : 0);
 			}
 			now = this.time.nanos();
 			synchronized (this.lock) {
@@ -219,6 +232,19 @@
 		}
 	}
 
+	private void pause(Team team, ReserveOutcome outcome, long nanos) {
+		if (nanos <= 0) {
+			LOG.atInfo()
+				.addKeyValue("event", "tokens_refused")
+				.addKeyValue("team", team.id())
+				.addKeyValue("reason", outcome.kind())
+				.addKeyValue("wait_ms", Duration.ofNanos(outcome.waitNanos()).toMillis())
+				.log();
+			throw refusal(team, outcome.waitNanos());
+		}
+		LockSupport.parkNanos(this, nanos);
+	}
+
 	private static RouterException refusal(Team team, long waitNanos) {
 		return RouterException.retryAfter(ErrorType.RATE_LIMITED, Duration.ofNanos(waitNanos), team.id());
 	}
--- a/runtime/src/main/java/org/skylarkstack/limit/LendingTerms.java
+++ b/runtime/src/main/java/org/skylarkstack/limit/LendingTerms.java
@@ -11,10 +11,13 @@
  * @param loanTermNanos the term of a loan
  * @param grantTermNanos the term of a token grant
  * @param driftShare the allowance for clock drift, as a share of each term
- * @param grantWaitNanos the longest time that a reservation waits for a grant
+ * @param grantWaitNanos the longest time that a reservation waits for tokens of a team
+ * that has used its tokens
+ * @param loanWaitNanos the longest time that a reservation waits while it is unknown
+ * whether the team has tokens, because a loan or a response of the owner has not arrived
  */
 public record LendingTerms(long slotLeaseNanos, long slotRenewalNanos, long slotRetryNanos, long loanTermNanos,
-		long grantTermNanos, double driftShare, long grantWaitNanos) {
+		long grantTermNanos, double driftShare, long grantWaitNanos, long loanWaitNanos) {
 
 	private static final long NANOS_PER_SECOND = 1_000_000_000L;
 
@@ -25,6 +28,9 @@
 	 */
 	private static final long MIN_LOAN_TERM_SECONDS = 5;
 
+	/** A loan is sent with the next heartbeat, and again with the one after it. */
+	private static final int HEARTBEATS_UNTIL_LOAN = 2;
+
 	/** Checks that a loan lasts longer than the grants that it backs. */
 	public LendingTerms {
 		if (loanTermNanos <= grantTermNanos * (1 + driftShare)) {
@@ -41,7 +47,7 @@
 	public static LendingTerms forPeriod(long heartbeatPeriodNanos) {
 		return new LendingTerms(4 * 3600 * NANOS_PER_SECOND, 300 * NANOS_PER_SECOND, 2 * NANOS_PER_SECOND,
 				Math.max(MIN_LOAN_TERM_SECONDS * NANOS_PER_SECOND, 3 * heartbeatPeriodNanos), 2 * NANOS_PER_SECOND,
-				0.01, 8_000_000L);
+				0.01, 8_000_000L, HEARTBEATS_UNTIL_LOAN * heartbeatPeriodNanos);
 	}
 
 	/**
@@ -54,4 +60,13 @@
 		return termNanos + (long) Math.ceil(termNanos * this.driftShare);
 	}
 
+	/**
+	 * Returns the longest time that a slice needs to move to a new owner: the former loan
+	 * and the grants that it backs end first, and a heartbeat carries the new loan.
+	 * @return the time in nanoseconds
+	 */
+	public long settlingNanos() {
+		return withDriftAllowance(this.loanTermNanos) + withDriftAllowance(this.grantTermNanos) + this.loanWaitNanos;
+	}
+
 }
--- a/runtime/src/main/java/org/skylarkstack/limit/ReserveOutcome.java
+++ b/runtime/src/main/java/org/skylarkstack/limit/ReserveOutcome.java
@@ -7,7 +7,7 @@
  * @param requestId the number of the request to the owner whose response is awaited, else
  * 0
  * @param waitNanos the time in nanoseconds after which another attempt may succeed if the
- * tokens were refused, else 0
+ * tokens were neither reserved nor requested, else 0
  */
 public record ReserveOutcome(Kind kind, long requestId, long waitNanos) {
 
@@ -21,6 +21,10 @@
 		return new ReserveOutcome(Kind.REFUSED, 0, waitNanos);
 	}
 
+	static ReserveOutcome undecided(long waitNanos) {
+		return new ReserveOutcome(Kind.UNDECIDED, 0, waitNanos);
+	}
+
 	/** Kind of an outcome. */
 	public enum Kind {
 
@@ -30,8 +34,14 @@
 		/** The missing tokens were requested from the owner. */
 		ASKED,
 
-		/** There are not enough tokens. */
-		REFUSED
+		/** The team has used its tokens. */
+		REFUSED,
+
+		/**
+		 * There are not enough tokens here, and it is unknown whether the team has used
+		 * them: a loan has not arrived, or the owner does not respond.
+		 */
+		UNDECIDED
 
 	}
 
--- a/runtime/src/main/java/org/skylarkstack/limit/TeamLimiter.java
+++ b/runtime/src/main/java/org/skylarkstack/limit/TeamLimiter.java
@@ -9,7 +9,7 @@
 
 	/**
 	 * Reserves tokens for a request. May wait a few milliseconds for a grant from the
-	 * team's soft owner.
+	 * team's soft owner, and longer while the owner has not decided.
 	 * @param team the team
 	 * @param tokens the number of prompt tokens plus the upper bound of output tokens
 	 * @param nowNanos the monotonic time in nanoseconds
--- a/runtime/src/main/java/org/skylarkstack/limit/TokenLending.java
+++ b/runtime/src/main/java/org/skylarkstack/limit/TokenLending.java
@@ -92,6 +92,10 @@
 
 	private @Nullable RateSlotLease slot;
 
+	private boolean started;
+
+	private long settledNanos;
+
 	private LongConsumer responseListener = (requestId) -> {
 	};
 
@@ -144,8 +148,10 @@
 	/**
 	 * Sets the soft owner of each shard.
 	 * @param newOwners the identifiers of the owners, in the order of the shards
+	 * @param nowNanos the monotonic time in nanoseconds
 	 */
-	public void setOwners(List<String> newOwners) {
+	public void setOwners(List<String> newOwners, long nowNanos) {
+		beginSettling(nowNanos);
 		this.shardsByOwner.clear();
 		for (int shard = 0; shard < ShardSet.SHARDS; shard++) {
 			this.owners[shard] = newOwners.get(shard);
@@ -162,11 +168,24 @@
 	public void setSlot(@Nullable RateSlotLease held, long nowNanos) {
 		RateSlotLease former = this.slot;
 		this.slot = held;
+		if (former == null && held != null) {
+			beginSettling(nowNanos);
+		}
 		if (former != null && (held == null || held.slot() != former.slot())) {
 			withdrawOwnSlices(nowNanos);
 		}
 	}
 
+	// Until the slices have moved, a pool may lack tokens that the team has not used.
+	private void beginSettling(long nowNanos) {
+		this.started = true;
+		this.settledNanos = nowNanos + this.terms.settlingNanos();
+	}
+
+	private boolean isSettled(long nowNanos) {
+		return this.started && nowNanos - this.settledNanos >= 0;
+	}
+
 	private void withdrawOwnSlices(long nowNanos) {
 		for (int shard = 0; shard < ShardSet.SHARDS; shard++) {
 			if (this.lender.isInOwnPool(shard)) {
@@ -196,7 +215,8 @@
 	 * @param tokens the tokens to reserve, all or none
 	 * @param mayRequest whether a request may be sent to the owner
 	 * @param nowNanos the monotonic time in nanoseconds
-	 * @return whether the tokens are reserved, requested or refused
+	 * @return whether the tokens are reserved, requested or refused, or whether this is
+	 * undecided
 	 */
 	public ReserveOutcome tryReserve(Team team, long tokens, boolean mayRequest, long nowNanos) {
 		int shard = ShardSet.shardOf(team.id());
@@ -208,13 +228,13 @@
 		}
 		String owner = this.owners[shard];
 		if (owner.equals(this.self)) {
-			return ReserveOutcome.refused(localWaitNanos(team, shard, tokens, nowNanos));
+			return shortage(pool(shard).hasSlices(nowNanos), localWaitNanos(team, shard, tokens, nowNanos), nowNanos);
 		}
 		long missing = tokens - grants.available(nowNanos);
-		if (!mayRequest || grants.wouldBeRefused(missing, nowNanos)
-				|| !this.reachability.isReachable(owner, nowNanos)) {
+		boolean refusedByOwner = grants.wouldBeRefused(missing, nowNanos);
+		if (!mayRequest || refusedByOwner || !this.reachability.isReachable(owner, nowNanos)) {
 			long wait = grants.waitNanos(nowNanos);
-			return ReserveOutcome.refused((wait > 0) ? wait : UNKNOWN_WAIT_NANOS);
+			return shortage(refusedByOwner, (wait > 0) ? wait : UNKNOWN_WAIT_NANOS, nowNanos);
 		}
 		long requestId = this.nextRequestId++;
 		this.neededTokensByRequest.put(requestId, missing);
@@ -223,6 +243,11 @@
 		return ReserveOutcome.asked(requestId);
 	}
 
+	private ReserveOutcome shortage(boolean decidedByOwner, long waitNanos, long nowNanos) {
+		return (decidedByOwner && isSettled(nowNanos)) ? ReserveOutcome.refused(waitNanos)
+				: ReserveOutcome.undecided(waitNanos);
+	}
+
 	private long localWaitNanos(Team team, int shard, long tokens, long nowNanos) {
 		ShardPool pool = pool(shard);
 		return pool.hasSlices(nowNanos) ? pool.nanosUntil(team, tokens, nowNanos) : UNKNOWN_WAIT_NANOS;
--- a/runtime/src/test/java/org/skylarkstack/limit/RateSlotClaimerTests.java
+++ b/runtime/src/test/java/org/skylarkstack/limit/RateSlotClaimerTests.java
@@ -1,19 +1,9 @@
 package org.skylarkstack.limit;
 
-import java.util.ArrayList;
-import java.util.List;
-import java.util.Objects;
-import java.util.Optional;
 import java.util.Random;
-import java.util.TreeMap;
 
 import org.junit.jupiter.api.Test;
-import org.skylarkstack.store.Row;
-import org.skylarkstack.store.RowCondition;
-import org.skylarkstack.store.RowWrite;
 import org.skylarkstack.store.StoreException;
-import org.skylarkstack.store.TableStore;
-import org.skylarkstack.store.WriteEffect;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -29,7 +19,7 @@
 
 	private static final long LOAN_TERM_NANOS = TERMS.withDriftAllowance(TERMS.loanTermNanos());
 
-	private final FaultyStore store = new FaultyStore();
+	private final FaultySlotStore store = new FaultySlotStore();
 
 	private RateSlotClaimer claimer(String vmId, long incarnation, long nowNanos) {
 		return new RateSlotClaimer(this.store, vmId, incarnation, 1, TERMS, new Random(1), nowNanos);
@@ -137,52 +127,4 @@
 		assertThat(claimer.lease().orElseThrow().isUsable(10 * SECOND + TERMS.slotLeaseNanos())).isTrue();
 	}
 
-	/**
-	 * In-memory table that can lose the reply to a write or fail all calls.
-	 */
-	private static final class FaultyStore implements TableStore {
-
-		private final TreeMap<String, Row> rows = new TreeMap<>();
-
-		private boolean loseReply;
-
-		private boolean down;
-
-		@Override
-		public Optional<Row> get(String partition, String sort) {
-			failIf(this.down, WriteEffect.NOT_APPLIED);
-			return Optional.ofNullable(this.rows.get(sort));
-		}
-
-		@Override
-		public List<Row> query(String partition, String afterSort, int limit) {
-			failIf(this.down, WriteEffect.NOT_APPLIED);
-			return new ArrayList<>(this.rows.values());
-		}
-
-		@Override
-		public boolean write(List<RowWrite> writes) {
-			failIf(this.down, WriteEffect.UNKNOWN);
-			RowWrite write = writes.get(0);
-			Row present = this.rows.get(write.row().sort());
-			RowCondition condition = Objects.requireNonNull(write.condition());
-			boolean holds = (condition.attribute() == null) ? present == null : present != null
-					&& Objects.equals(present.attributes().get(condition.attribute()), condition.expected());
-			if (holds) {
-				this.rows.put(write.row().sort(), write.row());
-			}
-			boolean lost = this.loseReply;
-			this.loseReply = false;
-			failIf(lost, WriteEffect.UNKNOWN);
-			return holds;
-		}
-
-		private static void failIf(boolean isFailing, WriteEffect effect) {
-			if (isFailing) {
-				throw new StoreException(effect, "no reply", new IllegalStateException());
-			}
-		}
-
-	}
-
 }
