Bound responses without end and streams without complete events

Cause, in the platform's program: bodies of plain responses, prefill results, errors and store replies were buffered without a bound; heads that are skipped (informational, or of another request) and line breaks before a head were read without a bound; an event without an end grew its buffer; each byte restarted the silence timer; streams that may not be resumed had no such timer; a stream that no other engine could resume was cut after five gaps; a caller that does not read let the response grow in memory; calls that release a prefill result or order a role had no timeout.

Change: BodyBudget bounds each body (4 MB) and all together (an eighth of the heap) and drops the largest; at most 256 KB may precede a head; an event has at most 64 KB; StreamSilence decides when a silent stream moves or ends, counted from complete events; the engine is not read while the caller does not read.

Holds before the change too, and tested now: endless status line, head, header, line breaks, chunk extension, trailer and bytes that are not HTTP are bounded by the decoder's limits.

--- a/gateway/src/main/java/org/skylarkstack/edge/BackendCall.java
+++ b/gateway/src/main/java/org/skylarkstack/edge/BackendCall.java
@@ -17,4 +17,11 @@
 	 */
 	boolean sent();
 
+	/**
+	 * Pauses or resumes reading the response. While reading is paused, the server can
+	 * send only as much as fits into the socket buffers.
+	 * @param reading whether to read
+	 */
+	void setReading(boolean reading);
+
 }
--- a/gateway/src/main/java/org/skylarkstack/edge/BackendClient.java
+++ b/gateway/src/main/java/org/skylarkstack/edge/BackendClient.java
@@ -1,6 +1,7 @@
 package org.skylarkstack.edge;
 
 import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 import io.netty.bootstrap.Bootstrap;
@@ -48,6 +49,10 @@
 	 * @return the call in progress
 	 */
 	public BackendCall call(BackendRequest request, BackendListener listener) {
+		return connect(request, listener);
+	}
+
+	private BackendConnection connect(BackendRequest request, BackendListener listener) {
 		BackendConnection connection = new BackendConnection(request, listener);
 		ChannelFuture connecting = new Bootstrap().group(this.loop)
 			.channel(NioSocketChannel.class)
@@ -64,6 +69,18 @@
 		return connection;
 	}
 
+	/**
+	 * Starts a call that fails with {@link BackendFailure.Kind#SILENT} unless its
+	 * response is complete within a timeout.
+	 * @param request the request to send
+	 * @param listener receives the response or the failure, on the event loop
+	 * @param timeoutMillis the timeout in milliseconds
+	 */
+	public void call(BackendRequest request, BackendListener listener, long timeoutMillis) {
+		BackendConnection connection = connect(request, listener);
+		this.loop.schedule(connection::expire, timeoutMillis, TimeUnit.MILLISECONDS);
+	}
+
 	/**
 	 * Checks whether a server accepts new connections, by opening one and closing it.
 	 * @param address the server's address
@@ -92,7 +109,8 @@
 		@Override
 		protected void initChannel(Channel channel) {
 			HttpDecoderConfig config = new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES);
-			channel.pipeline().addLast(new HttpClientCodec(config, false, false), this.connection);
+			channel.pipeline()
+				.addLast(this.connection.headLimiter(), new HttpClientCodec(config, false, false), this.connection);
 		}
 
 	}
--- a/gateway/src/main/java/org/skylarkstack/edge/BackendConnection.java
+++ b/gateway/src/main/java/org/skylarkstack/edge/BackendConnection.java
@@ -26,10 +26,13 @@
  * A response is complete when it has reached its content length or its last chunk or, if
  * it has neither, when the server closes the connection normally. After a connection
  * reset, a response is never complete. A response that echoes the identifier of another
- * request is skipped.
+ * request is skipped, as are informational responses; the bytes before the head of the
+ * response are bounded in total.
  */
 final class BackendConnection extends ChannelInboundHandlerAdapter implements BackendCall {
 
+	private static final long MAX_BYTES_BEFORE_HEAD = 256 * 1024;
+
 	private final BackendRequest request;
 
 	private final BackendListener listener;
@@ -55,6 +58,14 @@
 		this.channel = opened;
 	}
 
+	ChannelInboundHandlerAdapter headLimiter() {
+		return new HeadLimiter();
+	}
+
+	void expire() {
+		fail(BackendFailure.Kind.SILENT);
+	}
+
 	void connectFailed() {
 		fail(BackendFailure.Kind.UNREACHABLE);
 	}
@@ -174,4 +185,32 @@
 		return this.sent;
 	}
 
+	@Override
+	public void setReading(boolean reading) {
+		Channel open = this.channel;
+		if (open != null && !this.done) {
+			open.config().setAutoRead(reading);
+		}
+	}
+
+	/**
+	 * Fails the call if too many bytes arrive before the head of the response. The HTTP
+	 * decoder bounds a single head, but neither the number of heads that are skipped and
+	 * their bodies nor the line breaks before a head.
+	 */
+	private final class HeadLimiter extends ChannelInboundHandlerAdapter {
+
+		private long received;
+
+		@Override
+		public void channelRead(ChannelHandlerContext context, Object message) {
+			this.received += (message instanceof ByteBuf bytes) ? bytes.readableBytes() : 0;
+			context.fireChannelRead(message);
+			if (!BackendConnection.this.headSeen && this.received > MAX_BYTES_BEFORE_HEAD) {
+				fail(BackendFailure.Kind.MALFORMED);
+			}
+		}
+
+	}
+
 }
--- a/gateway/src/main/java/org/skylarkstack/edge/BackendFailure.java
+++ b/gateway/src/main/java/org/skylarkstack/edge/BackendFailure.java
@@ -35,6 +35,9 @@
 		/** The server sent bytes that are not a valid HTTP response. */
 		MALFORMED,
 
+		/** The response exceeded the maximum size of a body or of an event. */
+		OVERSIZED,
+
 		/** The server sent nothing within the time limit. */
 		SILENT
 
--- a/gateway/src/main/java/org/skylarkstack/edge/CallerConnection.java
+++ b/gateway/src/main/java/org/skylarkstack/edge/CallerConnection.java
@@ -92,6 +92,14 @@
 		}
 	}
 
+	@Override
+	public void channelWritabilityChanged(ChannelHandlerContext context) {
+		Exchange open = this.exchange;
+		if (open != null && context.channel().isWritable()) {
+			open.writableAction.run();
+		}
+	}
+
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
 		// The caller reset the connection; channelInactive follows and ends the request
@@ -274,6 +282,9 @@
 
 		private @Nullable Runnable disconnectAction;
 
+		private Runnable writableAction = () -> {
+		};
+
 		private boolean callerDisconnected;
 
 		private boolean done;
@@ -346,6 +357,16 @@
 			channel().close().addListener(ChannelFutureListener.CLOSE);
 		}
 
+		@Override
+		public boolean isWritable() {
+			return finished() || channel().isWritable();
+		}
+
+		@Override
+		public void onWritable(Runnable action) {
+			this.writableAction = action;
+		}
+
 		@Override
 		public void onDisconnect(Runnable action) {
 			if (this.callerDisconnected) {
--- a/gateway/src/main/java/org/skylarkstack/edge/CallerResponse.java
+++ b/gateway/src/main/java/org/skylarkstack/edge/CallerResponse.java
@@ -40,6 +40,21 @@
 	 */
 	void abort();
 
+	/**
+	 * Returns whether the caller reads the response fast enough. After {@code false},
+	 * nothing more should be written until the action of {@link #onWritable} runs,
+	 * because it would be buffered.
+	 * @return whether less than the maximum of bytes is waiting to be sent
+	 */
+	boolean isWritable();
+
+	/**
+	 * Sets the action that runs when the caller has read most of the bytes that were
+	 * waiting to be sent.
+	 * @param action the action, which may run repeatedly
+	 */
+	void onWritable(Runnable action);
+
 	/**
 	 * Sets the action that runs when the caller closes its connection before the response
 	 * is complete.
--- a/gateway/src/main/java/org/skylarkstack/gateway/Attempt.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/Attempt.java
@@ -1,12 +1,11 @@
 package org.skylarkstack.gateway;
 
-import java.io.ByteArrayOutputStream;
-
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import org.jspecify.annotations.Nullable;
 import org.skylarkstack.edge.BackendFailure;
 import org.skylarkstack.edge.BackendListener;
+import org.skylarkstack.edge.BodyBuffer;
 import org.skylarkstack.kernel.Verdict;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -25,7 +24,7 @@
 
 	private final String stage;
 
-	private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+	private final BodyBuffer body;
 
 	private final long startedNanos = System.nanoTime();
 
@@ -40,6 +39,7 @@
 	Attempt(Exchange exchange, String stage) {
 		this.exchange = exchange;
 		this.stage = stage;
+		this.body = exchange.components().bodyBudget().open(this::rejectOversized);
 	}
 
 	final void bind(BackendState target) {
@@ -100,7 +100,7 @@
 
 	@Override
 	public void data(byte[] part) {
-		this.body.writeBytes(part);
+		this.body.append(part);
 	}
 
 	@Override
@@ -111,6 +111,7 @@
 				this.exchange.cancelAttemptTimeout();
 				responseReceived(responseHead());
 			}
+			this.body.release();
 		}
 	}
 
@@ -126,6 +127,7 @@
 				this.exchange.cancelAttemptTimeout();
 				callFailed(failure);
 			}
+			this.body.release();
 		}
 	}
 
@@ -148,13 +150,49 @@
 	}
 
 	final void expire() {
+		if (this.closed || this.exchange.isFinished()) {
+			return;
+		}
+		long furtherMillis = furtherWaitMillis(System.nanoTime());
+		if (furtherMillis > 0) {
+			this.exchange.setAttemptTimeout(this, furtherMillis);
+		}
+		else {
+			cancel(BackendFailure.Kind.SILENT);
+		}
+	}
+
+	/**
+	 * Returns how long the attempt may continue after its timeout has expired.
+	 * @param nowNanos the current monotonic time in nanoseconds
+	 * @return the time in milliseconds, 0 to end the attempt
+	 */
+	long furtherWaitMillis(long nowNanos) {
+		return 0;
+	}
+
+	/** Ends the attempt because its response is too large. */
+	final void rejectOversized() {
 		if (!this.closed && !this.exchange.isFinished()) {
-			Verdict verdict = (executesRequest() && this.exchange.callSent()) ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN;
-			this.exchange.cancelCall();
-			failed(new BackendFailure(BackendFailure.Kind.SILENT, verdict));
+			cancel(BackendFailure.Kind.OVERSIZED);
 		}
 	}
 
+	private void cancel(BackendFailure.Kind kind) {
+		ResponseHead head = this.responseHead;
+		boolean refused = head != null && head.notExecuted();
+		Verdict verdict = (executesRequest() && this.exchange.callSent() && !refused) ? Verdict.MAY_HAVE_RUN
+				: Verdict.NOT_RUN;
+		this.exchange.cancelCall();
+		failed(new BackendFailure(kind, verdict));
+	}
+
+	/** Ends the attempt without an outcome, because its exchange has ended. */
+	final void abandon() {
+		close();
+		this.body.release();
+	}
+
 	/**
 	 * Removes this attempt from the open requests of its server.
 	 * @return {@code false} if this was done before
--- a/gateway/src/main/java/org/skylarkstack/gateway/EngineRoleController.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/EngineRoleController.java
@@ -37,6 +37,8 @@
 
 	private static final long MIN_ORDER_INTERVAL_NANOS = 8_000_000_000L;
 
+	private static final long ORDER_TIMEOUT_MILLIS = 5_000;
+
 	private static final int ACCEPTED = 202;
 
 	private static final long NANOS_PER_MILLI = 1_000_000;
@@ -177,7 +179,8 @@
 
 		this.pausedUntilNanos = System.nanoTime() + MAX_ORDER_DELAY_NANOS;
 		this.meters.remove(service);
-		this.client.call(this.orders.encode(engine, role, this.self, fencingNumber), new OrderListener(engine));
+		this.client.call(this.orders.encode(engine, role, this.self, fencingNumber), new OrderListener(engine),
+				ORDER_TIMEOUT_MILLIS);
 	}
 
 	/**
--- a/gateway/src/main/java/org/skylarkstack/gateway/EventBuffer.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/EventBuffer.java
@@ -1,7 +1,7 @@
 package org.skylarkstack.gateway;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 
 import org.jspecify.annotations.Nullable;
 
@@ -15,7 +15,17 @@
 
 	private static final byte[] EMPTY = {};
 
-	private final ByteArrayOutputStream partial = new ByteArrayOutputStream();
+	// An event contains some tokens of text.
+	private static final int MAX_EVENT_BYTES = 64 * 1024;
+
+	private static final int INITIAL_BYTES = 256;
+
+	// Number of buffered bytes that may be the beginning of the end of an event.
+	private static final int MAX_SPLIT_END = 2;
+
+	private byte[] partial = new byte[INITIAL_BYTES];
+
+	private int partialBytes;
 
 	private @Nullable String lastEventId;
 
@@ -27,21 +37,27 @@
 	 * @return the complete events, empty if there are none
 	 */
 	public byte[] append(byte[] bytes) {
-		this.partial.writeBytes(bytes);
-		byte[] buffered = this.partial.toByteArray();
-		int end = endOfCompleteEvents(buffered);
+		int scanned = Math.max(0, this.partialBytes - MAX_SPLIT_END);
+		int size = this.partialBytes + bytes.length;
+		if (size > this.partial.length) {
+			this.partial = Arrays.copyOf(this.partial, Math.max(size, 2 * this.partial.length));
+		}
+		System.arraycopy(bytes, 0, this.partial, this.partialBytes, bytes.length);
+		this.partialBytes = size;
+		int end = endOfCompleteEvents(scanned);
 		if (end == 0) {
 			return EMPTY;
 		}
-		this.partial.reset();
-		this.partial.write(buffered, end, buffered.length - end);
-		byte[] completeEvents = java.util.Arrays.copyOf(buffered, end);
+		byte[] completeEvents = Arrays.copyOf(this.partial, end);
+		System.arraycopy(this.partial, end, this.partial, 0, size - end);
+		this.partialBytes = size - end;
 		readIds(new String(completeEvents, StandardCharsets.UTF_8));
 		return completeEvents;
 	}
 
-	private static int endOfCompleteEvents(byte[] buffered) {
-		for (int index = buffered.length - 1; index > 0; index--) {
+	private int endOfCompleteEvents(int from) {
+		byte[] buffered = this.partial;
+		for (int index = this.partialBytes - 1; index > from; index--) {
 			if (buffered[index] == '\n' && (buffered[index - 1] == '\n'
 					|| (index > 1 && buffered[index - 1] == '\r' && buffered[index - 2] == '\n'))) {
 				return index + 1;
@@ -61,7 +77,7 @@
 
 	/** Discards the bytes of an incomplete event. */
 	public void discardPartial() {
-		this.partial.reset();
+		this.partialBytes = 0;
 	}
 
 	/**
@@ -69,7 +85,15 @@
 	 * @return whether any bytes are buffered
 	 */
 	public boolean hasPartial() {
-		return this.partial.size() > 0;
+		return this.partialBytes > 0;
+	}
+
+	/**
+	 * Returns whether the incomplete event is longer than an event may be.
+	 * @return whether the stream must be given up
+	 */
+	public boolean isOversized() {
+		return this.partialBytes > MAX_EVENT_BYTES;
 	}
 
 	/**
--- a/gateway/src/main/java/org/skylarkstack/gateway/Exchange.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/Exchange.java
@@ -118,7 +118,7 @@
 		cancelCall();
 		Attempt last = this.attempt;
 		if (last != null) {
-			last.close();
+			last.abandon();
 		}
 	}
 
@@ -215,6 +215,17 @@
 		}
 	}
 
+	/**
+	 * Pauses or resumes reading the response of the current call.
+	 * @param reading whether to read
+	 */
+	final void setReading(boolean reading) {
+		BackendCall current = this.call;
+		if (current != null) {
+			current.setReading(reading);
+		}
+	}
+
 	/** Cancels the current call without waiting for its response. */
 	final void cancelCall() {
 		BackendCall current = this.call;
@@ -247,8 +258,7 @@
 	 */
 	final boolean mayRetry(boolean reachedServer) {
 		long now = System.nanoTime();
-		if (this.finished || this.context.deadlineNanos() - now <= 0
-				|| !this.verdict.permitsRetry(this.context.route().repeatable())) {
+		if (!canRetry(now)) {
 			return false;
 		}
 		if (!reachedServer) {
@@ -258,6 +268,22 @@
 				&& this.components.retryBudget().tryTake(this.context.service().name(), now);
 	}
 
+	private boolean canRetry(long now) {
+		return !this.finished && this.context.deadlineNanos() - now > 0
+				&& this.verdict.permitsRetry(this.context.route().repeatable());
+	}
+
+	/**
+	 * Returns whether another attempt could follow the one in progress if that failed at
+	 * its server now. Takes nothing from the retry budget.
+	 * @param nowNanos the current monotonic time in nanoseconds
+	 * @return whether the route, the deadline and the retry budget permit it
+	 */
+	final boolean couldFollow(long nowNanos) {
+		return canRetry(nowNanos) && this.attempts + 1 < this.context.route().maxAttempts()
+				&& this.components.retryBudget().hasRetry(this.context.service().name(), nowNanos);
+	}
+
 	/**
 	 * Refuses the request because no further attempt is possible.
 	 * @param failure the last failure, or {@code null} if no server was available
--- a/gateway/src/main/java/org/skylarkstack/gateway/GatewayComponents.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/GatewayComponents.java
@@ -4,6 +4,7 @@
 
 import io.netty.channel.EventLoop;
 import org.skylarkstack.edge.BackendClient;
+import org.skylarkstack.edge.BodyBudget;
 
 /**
  * Components that all requests of a daemon share.
@@ -12,6 +13,7 @@
  * @param state the active configuration and the known backend servers
  * @param dialect encodes and decodes the platform's messages
  * @param backendClient sends requests to backend servers
+ * @param bodyBudget bounds the memory of responses that are being received
  * @param backendChooser chooses the server of a request to a plain service
  * @param prefillEngineChooser chooses the engine that processes a prompt
  * @param admission queues stream requests until an engine has free capacity
@@ -22,8 +24,8 @@
  * @param random the random number generator that all requests use
  */
 public record GatewayComponents(EventLoop loop, GatewayState state, WireDialect dialect, BackendClient backendClient,
-		BackendChooser backendChooser, PrefillEngineChooser prefillEngineChooser, StreamAdmission admission,
-		RetryBudget retryBudget, TeamLimits limits, CrashSuspects suspects, GatewayMetrics metrics,
-		RandomGenerator random) {
+		BodyBudget bodyBudget, BackendChooser backendChooser, PrefillEngineChooser prefillEngineChooser,
+		StreamAdmission admission, RetryBudget retryBudget, TeamLimits limits, CrashSuspects suspects,
+		GatewayMetrics metrics, RandomGenerator random) {
 
 }
--- a/gateway/src/main/java/org/skylarkstack/gateway/RetryBudget.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/RetryBudget.java
@@ -66,16 +66,27 @@
 	 * @return whether the retry may be sent
 	 */
 	public boolean tryTake(String service, long nowNanos) {
-		Counts counts = counts(service, nowNanos);
-		double allowed = USED_SHARE
-				* (this.ratio * sum(counts.requests) + this.fixed / Math.max(1, this.daemons.getAsInt()));
-		if (sum(counts.retries) + 1 > allowed) {
+		if (!hasRetry(service, nowNanos)) {
 			return false;
 		}
+		Counts counts = counts(service, nowNanos);
 		counts.retries[counts.index()]++;
 		return true;
 	}
 
+	/**
+	 * Returns whether the budget has a retry left.
+	 * @param service the name of the service
+	 * @param nowNanos the current monotonic time in nanoseconds
+	 * @return whether {@link #tryTake} would succeed now
+	 */
+	public boolean hasRetry(String service, long nowNanos) {
+		Counts counts = counts(service, nowNanos);
+		double allowed = USED_SHARE
+				* (this.ratio * sum(counts.requests) + this.fixed / Math.max(1, this.daemons.getAsInt()));
+		return sum(counts.retries) + 1 <= allowed;
+	}
+
 	private Counts counts(String service, long nowNanos) {
 		Counts counts = this.services.computeIfAbsent(service, (name) -> new Counts());
 		counts.advance(nowNanos / this.slotNanos);
--- a/gateway/src/main/java/org/skylarkstack/gateway/StreamExchange.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/StreamExchange.java
@@ -46,10 +46,9 @@
 	// Time limit for one engine to process the prompt, after which another one is tried.
 	private static final long PREFILL_TIMEOUT_MILLIS = 1_500;
 
-	// An engine behind a network partition sends nothing, and its connection reports no
-	// error. A resumable stream moves to another engine if no data arrives for this many
-	// times the route's target gap between events.
-	private static final int SILENCE_TIMEOUT_IN_GAPS = 5;
+	// Time limit for an engine to acknowledge the release of a prefill result. The engine
+	// drops the result by itself at the end of its lifetime.
+	private static final long RELEASE_TIMEOUT_MILLIS = 2_000;
 
 	private static final long NANOS_PER_MILLI = 1_000_000;
 
@@ -61,6 +60,8 @@
 
 	private final PrefillResultHolder prefillResult;
 
+	private final StreamSilence silence;
+
 	private @Nullable ScheduledFuture<?> firstEventTimer;
 
 	// Prefill engines that failed to process the prompt. An engine that succeeded may be
@@ -92,6 +93,7 @@
 		this.reservations = new EngineReservations(facts,
 				components.admission().outputLengths().expectedTokens(context.route().name(), facts));
 		this.prefillResult = new PrefillResultHolder(profile.prefillResultTtlMillis());
+		this.silence = StreamSilence.of(context.route());
 	}
 
 	@Override
@@ -193,7 +195,8 @@
 	void release() {
 		CallPlan.KvSource unusedResult = this.prefillResult.remove();
 		if (unusedResult != null) {
-			components().backendClient().call(components().dialect().encodeRelease(unusedResult), new NoOpListener());
+			components().backendClient()
+				.call(components().dialect().encodeRelease(unusedResult), new NoOpListener(), RELEASE_TIMEOUT_MILLIS);
 		}
 	}
 
@@ -266,13 +269,7 @@
 		}
 		this.reservations.reserveDecode(engine);
 		CallPlan.KvSource source = this.prefillResult.source();
-		send(engine, plan(engine, false, source, now), silenceTimeoutMillis(), new DecodeAttempt(source));
-	}
-
-	// Only a resumable stream has a silence timeout: any other stream may still complete
-	// at an engine that has sent nothing for some time.
-	private long silenceTimeoutMillis() {
-		return context().route().repeatable() ? SILENCE_TIMEOUT_IN_GAPS * context().route().targetGapMillis() : 0;
+		send(engine, plan(engine, false, source, now), this.silence.firstMillis(), new DecodeAttempt(source, now));
 	}
 
 	// Processing a prompt at a decode engine delays the events of all streams there, so a
@@ -351,9 +348,37 @@
 
 		private final CallPlan.@Nullable KvSource source;
 
-		DecodeAttempt(CallPlan.@Nullable KvSource source) {
+		private long progressNanos;
+
+		DecodeAttempt(CallPlan.@Nullable KvSource source, long nowNanos) {
 			super(StreamExchange.this, "decode");
 			this.source = source;
+			this.progressNanos = nowNanos;
+		}
+
+		@Override
+		long furtherWaitMillis(long nowNanos) {
+			boolean canMove = couldFollow(nowNanos) && components().admission()
+				.chooseDecodeEngine(context().service().name(), StreamExchange.this.profile, tried(), memory()) != null;
+			return StreamExchange.this.silence.furtherMillis((nowNanos - this.progressNanos) / NANOS_PER_MILLI,
+					canMove);
+		}
+
+		private void recordProgress() {
+			this.progressNanos = System.nanoTime();
+			setAttemptTimeout(this, StreamExchange.this.silence.firstMillis());
+		}
+
+		// The engine is not silent while the caller does not read what it has sent.
+		private void pauseUntilWritable() {
+			cancelAttemptTimeout();
+			setReading(false);
+			response().onWritable(() -> {
+				if (!isFinished()) {
+					setReading(true);
+					recordProgress();
+				}
+			});
 		}
 
 		@Override
@@ -381,16 +406,30 @@
 				return;
 			}
 			if (responseHead().success() && responseHead().signed()) {
-				setAttemptTimeout(this, silenceTimeoutMillis());
-				response().write(StreamExchange.this.eventBuffer.append(part));
-				StreamExchange.this.reservations.setGeneratedTokens(
-						StreamExchange.this.eventBuffer.eventCount() * StreamExchange.this.profile.tokensPerEvent());
+				relay(part);
 			}
 			else {
 				super.data(part);
 			}
 		}
 
+		private void relay(byte[] part) {
+			EventBuffer events = StreamExchange.this.eventBuffer;
+			long before = events.eventCount();
+			response().write(events.append(part));
+			StreamExchange.this.reservations
+				.setGeneratedTokens(events.eventCount() * StreamExchange.this.profile.tokensPerEvent());
+			if (events.isOversized()) {
+				rejectOversized();
+			}
+			else if (!response().isWritable()) {
+				pauseUntilWritable();
+			}
+			else if (events.eventCount() > before) {
+				recordProgress();
+			}
+		}
+
 		@Override
 		void responseReceived(ResponseHead head) {
 			countAttempt();
