Bound prefill results, reports, heads and repeated events of engines

Cause, in the product's daemon: prefill results, lists of held requests and load reports were read without a bound in bytes; a head could arrive byte by byte for ever, as only the read timeout applied; each event that the caller had already received restarted the idle timeout of a stream.

Not bounded: the length of a response of a plain service, which is passed on as it arrives and occupies no memory.

--- a/runtime/src/main/java/org/skylarkstack/engine/HttpEngineClient.java
+++ b/runtime/src/main/java/org/skylarkstack/engine/HttpEngineClient.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.InterruptedIOException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
@@ -42,6 +43,10 @@
 
 	private static final int MANAGEMENT_TIMEOUT_MILLIS = 1_000;
 
+	private static final long MAX_PREFILL_RESULT_BYTES = 1024 * 1024;
+
+	private static final long MAX_REPORT_BYTES = 4 * 1024 * 1024;
+
 	private static final int NOT_FOUND = 404;
 
 	private static final int GONE = 410;
@@ -82,7 +87,7 @@
 		int idleTimeoutMillis = this.timeouts.prefillIdleMillis();
 		Exchange exchange = new Exchange(engine, call, post(engine, call, body), idleTimeoutMillis, idleTimeoutMillis);
 		try (Response response = exchange.execute(); Cancellation.Registration registration = exchange.cancellation()) {
-			JsonNode responseBody = this.mapper.readTree(response.body().byteStream());
+			JsonNode responseBody = this.mapper.readTree(BoundedBody.read(response, MAX_PREFILL_RESULT_BYTES));
 			JsonNode parameters = responseBody.path("kv_transfer_params");
 			if (!parameters.isObject()) {
 				throw RouterException.of(ErrorType.BACKEND_FAILED, Verdict.MAY_HAVE_RUN, null, engine.id(),
@@ -139,7 +144,7 @@
 	public List<HeldRequest> held(EngineNode engine) {
 		Request request = new Request.Builder().url(engine.url() + "/v1/requests").build();
 		JsonNode list = callManagementEndpoint(engine, request,
-				(response) -> this.mapper.readTree(response.body().byteStream()), false);
+				(response) -> this.mapper.readTree(BoundedBody.read(response, MAX_REPORT_BYTES)), false);
 		List<HeldRequest> held = new ArrayList<>();
 		for (JsonNode item : list) {
 			held.add(new HeldRequest(item.path("request_id").asText(), item.path("owner").asText(),
@@ -151,8 +156,8 @@
 	@Override
 	public EngineLoad load(EngineNode engine) {
 		Request request = new Request.Builder().url(engine.url() + "/metrics").build();
-		return callManagementEndpoint(engine, request, (response) -> LoadReportParser.parse(response.body().string()),
-				false);
+		return callManagementEndpoint(engine, request, (response) -> LoadReportParser
+			.parse(new String(BoundedBody.read(response, MAX_REPORT_BYTES), StandardCharsets.UTF_8)), false);
 	}
 
 	// Makes a short call on a new connection, because a pooled connection may have
@@ -220,7 +225,7 @@
 
 		Response execute() {
 			try {
-				Response response = this.call.execute();
+				Response response = HeadTimeout.execute(this.call, this.idleTimeoutMillis);
 				check(response);
 				return response;
 			}
--- a/runtime/src/main/java/org/skylarkstack/engine/ServerSentEventStream.java
+++ b/runtime/src/main/java/org/skylarkstack/engine/ServerSentEventStream.java
@@ -16,8 +16,9 @@
 /**
  * Reads a stream of server-sent events from an engine. A stream that ends without the end
  * marker is treated as truncated. Events of other requests are dropped and counted. The
- * idle timeout applies from event to event, so that comments or partial lines do not
- * extend it.
+ * idle timeout applies to the time spent waiting for the next new token, so that
+ * comments, partial lines and repeated events do not extend it, and a caller that reads
+ * slowly does not use it up.
  */
 final class ServerSentEventStream implements DecodeStream {
 
@@ -29,7 +30,7 @@
 
 	// An event contains one token; the limit prevents a faulty engine from filling the
 	// heap.
-	private static final long MAX_LINE_BYTES = 1024 * 1024;
+	private static final long MAX_LINE_BYTES = 256 * 1024;
 
 	private final EngineCall engineCall;
 
@@ -53,6 +54,10 @@
 
 	private int idleTimeoutMillis;
 
+	private long remainingNanos;
+
+	private int lastOffset;
+
 	ServerSentEventStream(String engineId, EngineCall engineCall, Call call, Response response,
 			int firstTokenIdleMillis, int tokenIdleMillis, AtomicLong crossed, Runnable onIdleTimeout) {
 		this.engineId = engineId;
@@ -63,6 +68,7 @@
 		this.matcher = new EventMatcher(engineCall.requestId());
 		this.crossed = crossed;
 		this.idleTimeoutMillis = firstTokenIdleMillis;
+		this.remainingNanos = TimeUnit.MILLISECONDS.toNanos(firstTokenIdleMillis);
 		this.tokenIdleMillis = tokenIdleMillis;
 		this.onIdleTimeout = onIdleTimeout;
 		this.cancellation = engineCall.cancellation().onCancel(call::cancel);
@@ -70,11 +76,15 @@
 
 	@Override
 	public @Nullable DecodeEvent next() {
+		long startNanos = System.nanoTime();
 		try {
-			this.source.timeout().deadline(this.idleTimeoutMillis, TimeUnit.MILLISECONDS);
+			this.source.timeout().deadline(Math.max(1, this.remainingNanos), TimeUnit.NANOSECONDS);
 			DecodeEvent event = readEvent();
-			if (event != null && event.tokenOffset() > 0) {
+			this.remainingNanos -= System.nanoTime() - startNanos;
+			if (event != null && event.tokenOffset() > this.lastOffset) {
+				this.lastOffset = event.tokenOffset();
 				this.idleTimeoutMillis = this.tokenIdleMillis;
+				this.remainingNanos = TimeUnit.MILLISECONDS.toNanos(this.tokenIdleMillis);
 			}
 			return event;
 		}
--- a/runtime/src/main/java/org/skylarkstack/request/ServiceProxy.java
+++ b/runtime/src/main/java/org/skylarkstack/request/ServiceProxy.java
@@ -23,6 +23,7 @@
 import org.skylarkstack.configuration.ConfigurationHolder;
 import org.skylarkstack.configuration.ObjectKind;
 import org.skylarkstack.engine.BackendClients;
+import org.skylarkstack.engine.HeadTimeout;
 import org.skylarkstack.engine.SendTracker;
 import org.skylarkstack.kernel.Cancellation;
 import org.skylarkstack.kernel.ErrorType;
@@ -191,7 +192,7 @@
 			Cancellation effectiveCancellation = this.request.idempotent() ? this.request.cancellation()
 					: new Cancellation();
 			try (Cancellation.Registration registration = effectiveCancellation.onCancel(call::cancel);
-					Response response = call.execute()) {
+					Response response = HeadTimeout.execute(call, idle)) {
 				relay(response);
 			}
 			catch (IOException ex) {
--- a/runtime/src/test/java/org/skylarkstack/engine/HttpEngineClientTests.java
+++ b/runtime/src/test/java/org/skylarkstack/engine/HttpEngineClientTests.java
@@ -1,5 +1,10 @@
 package org.skylarkstack.engine;
 
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -136,6 +141,81 @@
 		assertThat(events).hasSize(1);
 	}
 
+	// Guards against a prefill result or a report without end that fills the heap.
+	@Test
+	void endlessBodyIsAFailure() {
+		String part = "x".repeat(5_000_000);
+		this.server.enqueue(response().body("{\"kv_transfer_params\":{\"a\":\"" + part).build());
+		RouterException failure = Exceptions.assertThrows(RouterException.class,
+				() -> this.client.prefill(engine(), call()));
+		assertThat(failure.type()).isEqualTo(ErrorType.BACKEND_FAILED);
+		assertThat(failure.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+		assertThat(failure).hasMessageThat().contains("larger than");
+		this.server.enqueue(new MockResponse.Builder().body("[\"" + part).build());
+		assertThat(Exceptions.assertThrows(RouterException.class, () -> this.client.held(engine()))).hasMessageThat()
+			.contains("larger than");
+		this.server.enqueue(new MockResponse.Builder().body("load 1\n".repeat(1_000_000)).build());
+		assertThat(Exceptions.assertThrows(RouterException.class, () -> this.client.load(engine()))).hasMessageThat()
+			.contains("larger than");
+		this.server.enqueue(response().body("id: 3\ndata: " + part).build());
+		assertThat(streamFailure(new ArrayList<>()).type()).isEqualTo(ErrorType.BACKEND_FAILED);
+	}
+
+	// Guards against a stalled stream that is kept open by events that the caller has
+	// already received.
+	@Test
+	void repeatedEventsDoNotExtendTheIdleTimeout() {
+		this.server.enqueue(response().body(event(3, ID).repeat(2_000))
+			.throttleBody(64, 50, java.util.concurrent.TimeUnit.MILLISECONDS)
+			.build());
+		long started = System.nanoTime();
+		assertThat(streamFailure(new ArrayList<>()).type()).isEqualTo(ErrorType.BACKEND_TIMEOUT);
+		assertThat(System.nanoTime() - started).isLessThan(6_000_000_000L);
+	}
+
+	// Guards against a slow caller whose reading time counts as silence of the engine.
+	@Test
+	void slowCallerDoesNotUseUpTheIdleTimeout() throws Exception {
+		this.server.enqueue(response().body(event(3, ID) + event(4, ID) + event(5, ID) + "data: [DONE]\n\n").build());
+		try (DecodeStream stream = decode()) {
+			for (DecodeEvent event = stream.next(); event != null; event = stream.next()) {
+				Thread.sleep(2_200);
+			}
+		}
+	}
+
+	// Guards against a head that arrives byte by byte, each within the read timeout.
+	@Test
+	void trickledHeadEndsAtItsTimeout() throws Exception {
+		try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+			Thread trickler = new Thread(() -> trickleHead(listener), "trickler");
+			trickler.start();
+			EngineNode slow = new EngineNode("e1", "http://127.0.0.1:" + listener.getLocalPort(), "dc", "model",
+					EngineRole.BOTH, 1, 1, 1, true, false);
+			long started = System.nanoTime();
+			RouterException failure = Exceptions.assertThrows(RouterException.class, () -> this.client.decode(slow,
+					call(), new PrefillResult(JsonNodeFactory.instance.objectNode(), 1), 2));
+			assertThat(failure.type()).isEqualTo(ErrorType.BACKEND_TIMEOUT);
+			assertThat(failure.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+			assertThat(System.nanoTime() - started).isLessThan(6_000_000_000L);
+			trickler.join();
+		}
+	}
+
+	private static void trickleHead(ServerSocket listener) {
+		try (Socket socket = listener.accept()) {
+			socket.getOutputStream().write("HTTP/1.1 200 OK\r\nX-Slow: ".getBytes(StandardCharsets.UTF_8));
+			for (int part = 0; part < 200; part++) {
+				socket.getOutputStream().write('x');
+				socket.getOutputStream().flush();
+				Thread.sleep(100);
+			}
+		}
+		catch (IOException | InterruptedException ex) {
+			// The client closed the connection.
+		}
+	}
+
 	// Guards against waiting forever for a prefill.
 	@Test
 	void stalledPrefillEndsAtItsIdleTimeout() {
