Keep a request open until its response is complete

Cause of recovery.feature:32: a request left the registry of open requests when its handler returned. Jetty sends the end of the response after that. A shutdown that polled in between closed the connection, and the stream ended without its last chunk. Shown by requestIsOpenUntilItsResponseIsComplete, which failed on: 0 open requests after the handler, 1 expected.

Jetty now gets 2 s to complete such requests, and responses of a daemon that is being released announce that the connection closes.

--- a/runtime/src/main/java/org/skylarkstack/http/CallerApi.java
+++ b/runtime/src/main/java/org/skylarkstack/http/CallerApi.java
@@ -14,6 +14,8 @@
 import io.javalin.http.Handler;
 import io.javalin.http.HandlerType;
 import io.javalin.http.HttpResponseException;
+import org.eclipse.jetty.ee10.servlet.ServletContextRequest;
+import org.eclipse.jetty.server.Request;
 import org.jspecify.annotations.Nullable;
 import org.skylarkstack.configuration.ConfigurationHolder;
 import org.skylarkstack.configuration.Team;
@@ -126,11 +128,19 @@
 		config.routes.exception(Exception.class, CallerApi::handleInternalError);
 	}
 
+	// The server sends the end of a response after the handler has returned, so the slot
+	// is
+	// held until the response is complete: a shutdown must not close its connection
+	// before.
 	private Handler withOpenRequestSlot(Handler handler) {
 		return (context) -> {
-			try (OpenRequests.Slot slot = this.openRequests.acquireSlot()) {
-				handler.handle(context);
+			if (!this.ready.getAsBoolean()) {
+				context.header("Connection", "close");
 			}
+			OpenRequests.Slot slot = this.openRequests.acquireSlot();
+			Request.addCompletionListener(ServletContextRequest.getServletContextRequest(context.req()),
+					(failure) -> slot.close());
+			handler.handle(context);
 		};
 	}
 
--- a/runtime/src/main/java/org/skylarkstack/http/CallerServer.java
+++ b/runtime/src/main/java/org/skylarkstack/http/CallerServer.java
@@ -17,6 +17,10 @@
 
 	private static final int THREAD_IDLE_MILLIS = 30_000;
 
+	// When the server stops, a request that is being received may still be completed and
+	// answered.
+	private static final long STOP_TIMEOUT_MILLIS = 2_000;
+
 	private CallerServer() {
 	}
 
@@ -36,7 +40,10 @@
 			http.setIdleTimeout(limits.bodyTimeoutMillis());
 			http.setSendServerVersion(false);
 		});
-		config.jetty.modifyServer((server) -> server.setErrorHandler(new JsonErrorHandler()));
+		config.jetty.modifyServer((server) -> {
+			server.setErrorHandler(new JsonErrorHandler());
+			server.setStopTimeout(STOP_TIMEOUT_MILLIS);
+		});
 		config.http.maxRequestSize = limits.maxBodyBytes();
 		// Compression would delay server-sent events, and responses of plain services are
 		// passed on unchanged.
--- a/runtime/src/main/java/org/skylarkstack/request/OpenRequests.java
+++ b/runtime/src/main/java/org/skylarkstack/request/OpenRequests.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.skylarkstack.configuration.Configuration;
@@ -45,7 +46,7 @@
 
 	/**
 	 * Takes a slot for a request before the request is read.
-	 * @return the slot, to be closed when the request ends
+	 * @return the slot, to be closed when the response is complete
 	 * @throws RouterException if all slots are taken or the daemon is shutting down
 	 */
 	public Slot acquireSlot() {
@@ -120,15 +121,14 @@
 	 */
 	public final class Slot implements AutoCloseable {
 
-		private boolean closed;
+		private final AtomicBoolean closed = new AtomicBoolean();
 
 		private Slot() {
 		}
 
 		@Override
 		public void close() {
-			if (!this.closed) {
-				this.closed = true;
+			if (this.closed.compareAndSet(false, true)) {
 				OpenRequests.this.slots.decrementAndGet();
 			}
 		}
--- a/runtime/src/test/java/org/skylarkstack/http/CallerApiTests.java
+++ b/runtime/src/test/java/org/skylarkstack/http/CallerApiTests.java
@@ -5,7 +5,9 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Queue;
 import java.util.Set;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
 
 import io.javalin.Javalin;
@@ -53,6 +55,8 @@
 
 	private final MockWebServer service = new MockWebServer();
 
+	private final Queue<Integer> openAfterHandler = new ConcurrentLinkedQueue<>();
+
 	private Javalin server = Javalin.create();
 
 	@BeforeEach
@@ -74,6 +78,7 @@
 		this.server = Javalin.create((config) -> {
 			config.startup.showJavalinBanner = false;
 			api.register(config);
+			config.routes.after((context) -> this.openAfterHandler.add(this.fixture.openRequests().openCount()));
 		}).start("127.0.0.1", 0);
 		BackendServer backend = new BackendServer("http://127.0.0.1:" + this.service.getPort(), "dc", false);
 		this.fixture.apply(new Ticket(2, "test",
@@ -192,6 +197,54 @@
 		assertThat(this.fixture.openRequests().openCount()).isEqualTo(0);
 	}
 
+	// Guards against a shutdown that closes a connection between the end of the handler
+	// and the last byte of its response.
+	@Test
+	void requestIsOpenUntilItsResponseIsComplete() throws IOException {
+		assertThat(sendAndReadAll(completion(BODY))).contains("[DONE]");
+		assertThat(this.openAfterHandler).containsExactly(1);
+	}
+
+	// Guards against a request that was accepted just before a stop and gets no response.
+	@Test
+	void requestThatIsBeingReceivedAtAStopIsAnswered() throws Exception {
+		String request = completion(BODY);
+		try (Socket socket = send(request.substring(0, request.length() - 1))) {
+			awaitOpenRequest();
+			Thread stopper = new Thread(() -> this.server.stop(), "stopper");
+			stopper.start();
+			Thread.sleep(200);
+			socket.getOutputStream().write(request.substring(request.length() - 1).getBytes(StandardCharsets.UTF_8));
+			String response = new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+			assertThat(response).contains("[DONE]");
+			stopper.join();
+		}
+	}
+
+	private void awaitOpenRequest() {
+		for (long end = System.nanoTime() + 20_000_000_000L; this.fixture.openRequests().openCount() == 0
+				&& System.nanoTime() < end;) {
+			Thread.onSpinWait();
+		}
+		assertThat(this.fixture.openRequests().openCount()).isEqualTo(1);
+	}
+
+	// Guards against a request that stays open, with its engine memory, because its
+	// caller
+	// keeps the connection open but reads nothing.
+	@Test
+	void callerThatDoesNotReadIsGivenUp() throws Exception {
+		this.fixture.setOutput(2_000, "x".repeat(20_000));
+		try (Socket socket = send(completion(BODY))) {
+			readUntil(socket, "t1");
+			for (long end = System.nanoTime() + 20_000_000_000L; this.fixture.openRequests().openCount() > 0
+					&& System.nanoTime() < end;) {
+				Thread.sleep(20);
+			}
+			assertThat(this.fixture.openRequests().openCount()).isEqualTo(0);
+		}
+	}
+
 	// Guards against a pipelined request that is mistaken for a disconnect of the caller,
 	// or that gets the response to another request.
 	@Test
--- a/runtime/src/test/java/org/skylarkstack/request/FakeEngineClient.java
+++ b/runtime/src/test/java/org/skylarkstack/request/FakeEngineClient.java
@@ -56,6 +56,9 @@
 
 	int tokens = 6;
 
+	/** Text that follows the name of each token. */
+	String padding = "";
+
 	long idleMillis;
 
 	static RouterException brokenConnection(String engineId) {
@@ -188,7 +191,7 @@
 			if (FakeEngineClient.this.skippedTokens.remove(this.offset)) {
 				this.offset++;
 			}
-			return new DecodeEvent(this.offset, "t" + this.offset);
+			return new DecodeEvent(this.offset, "t" + this.offset + FakeEngineClient.this.padding);
 		}
 
 		@Override
--- a/runtime/src/test/java/org/skylarkstack/request/RequestPathFixture.java
+++ b/runtime/src/test/java/org/skylarkstack/request/RequestPathFixture.java
@@ -83,6 +83,16 @@
 		}));
 	}
 
+	/**
+	 * Sets the text of the events that engines send.
+	 * @param tokens the number of events
+	 * @param padding the text that follows the name of each token
+	 */
+	public void setOutput(int tokens, String padding) {
+		this.fixture.engines.tokens = tokens;
+		this.fixture.engines.padding = padding;
+	}
+
 	/**
 	 * Returns the cancellation of the last decode.
 	 * @return the cancellation
