Track the usage of a team before its first request at a daemon

Among 95 daemons most see the first request of a team many seconds after the start, so a burst found a new full bucket at each of them. At 7 daemons every bucket exists within the first second.

Ruled out: the age of relayed reports, the first suspect.

Change: a bucket covers the time since the start of the process, also if it is created later, and reports of peers advance it. A restarted daemon therefore no longer refuses a team whose first request arrives long after the restart.

--- a/gateway/src/main/java/org/skylarkstack/gateway/GatewayState.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/GatewayState.java
@@ -62,6 +62,16 @@
 		return this.routing;
 	}
 
+	/**
+	 * Finds a team of the active configuration.
+	 * @param name the name of the team
+	 * @return the team, or {@code null} if it is not configured
+	 */
+	public @Nullable TeamPolicy team(String name) {
+		RoutingTable table = this.routing;
+		return (table != null) ? table.teamByName(name) : null;
+	}
+
 	/**
 	 * Returns the limits on the connections and requests of callers.
 	 * @return the limits of the active configuration, or the defaults if none is known
--- a/gateway/src/main/java/org/skylarkstack/gateway/RoutingTable.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/RoutingTable.java
@@ -25,6 +25,8 @@
 
 	private final Map<String, TeamPolicy> teamsByKey = new HashMap<>();
 
+	private final Map<String, TeamPolicy> teamsByName = new HashMap<>();
+
 	private final List<TeamPolicy> teams;
 
 	private final EdgeLimits limits;
@@ -47,7 +49,10 @@
 		this.routesByHost.values()
 			.forEach((list) -> list.sort(Comparator.comparingInt((ServiceRoute route) -> -route.prefix().length())));
 		services.forEach((service) -> this.services.put(service.name(), service));
-		teams.forEach((team) -> team.keys().forEach((key) -> this.teamsByKey.put(key, team)));
+		for (TeamPolicy team : teams) {
+			this.teamsByName.put(team.name(), team);
+			team.keys().forEach((key) -> this.teamsByKey.put(key, team));
+		}
 	}
 
 	/**
@@ -77,6 +82,15 @@
 		return this.teamsByKey.get(key);
 	}
 
+	/**
+	 * Finds a team by its name.
+	 * @param name the name
+	 * @return the team, or {@code null} if it is not configured
+	 */
+	public @Nullable TeamPolicy teamByName(String name) {
+		return this.teamsByName.get(name);
+	}
+
 	/**
 	 * Finds a service by its name.
 	 * @param name the name
--- a/gateway/src/main/java/org/skylarkstack/gateway/TeamLimits.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/TeamLimits.java
@@ -2,7 +2,9 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Function;
 
+import org.jspecify.annotations.Nullable;
 import org.skylarkstack.peers.PeerUsage;
 
 /**
@@ -16,6 +18,12 @@
  * The tolerance of the limit covers usage that peers have not reported yet.
  *
  * <p>
+ * A bucket represents the time since the start of the process, also if the first request
+ * of its team arrives here much later. In a large fleet a daemon sees few requests of
+ * each team; with a bucket that starts full at the first of them, the daemons together
+ * would grant a multiple of the limit.
+ *
+ * <p>
  * A fixed equal share for each daemon would refuse a team whose requests move from VM to
  * VM, although the team is within its limit.
  */
@@ -44,18 +52,28 @@
 
 	private final PeerUsage peers;
 
+	private final Function<String, @Nullable TeamPolicy> teams;
+
+	private final long startNanos;
+
 	private final Map<String, Bucket> buckets = new HashMap<>();
 
 	/**
 	 * Creates limits without any usage.
 	 * @param settings the tolerance and slack, and whether buckets start full
 	 * @param peers the usage that other daemons report
+	 * @param teams finds a team by its name; {@code null} if it is not configured
+	 * @param startNanos when the process started, on the monotonic clock in nanoseconds
 	 */
-	public TeamLimits(GatewaySettings settings, PeerUsage peers) {
+	public TeamLimits(GatewaySettings settings, PeerUsage peers, Function<String, @Nullable TeamPolicy> teams,
+			long startNanos) {
 		this.tolerance = settings.limitTolerance();
 		this.slack = settings.limitSlack();
 		this.startFull = settings.firstStart();
 		this.peers = peers;
+		this.teams = teams;
+		this.startNanos = startNanos;
+		peers.onUnitsReported(this::recordPeerUnits);
 	}
 
 	/**
@@ -71,13 +89,10 @@
 		if (team.ratePerSecond() <= 0) {
 			return 0;
 		}
-		double reachableShare = (double) this.peers.liveDaemons(nowNanos) / Math.max(1, this.peers.registeredDaemons());
-		double rate = team.ratePerSecond() * (1 + TOLERANCE_SHARE * this.tolerance) * reachableShare;
-		double capacity = (team.burst() * (1 + TOLERANCE_SHARE * this.tolerance) + SLACK_SHARE * this.slack)
-				* reachableShare;
-		Bucket bucket = this.buckets.computeIfAbsent(team.name(),
-				(name) -> new Bucket(this.startFull ? capacity : 0, this.peers.unitsFromPeers(name), nowNanos));
-		bucket.advance(rate, capacity, this.peers.unitsFromPeers(team.name()), nowNanos);
+		double reachableShare = reachableShare(nowNanos);
+		double rate = rate(team, reachableShare);
+		double capacity = capacity(team, reachableShare);
+		Bucket bucket = advancedBucket(team, rate, capacity, nowNanos);
 		double reserve = SMALL_REQUEST_SHARE * this.slack * reachableShare;
 		if (bucket.level + ((units < reserve / SMALL_REQUEST_DIVISOR) ? reserve : 0) >= units) {
 			bucket.level -= units;
@@ -87,6 +102,33 @@
 		return Math.max(1, (long) ((units - bucket.level) / rate * NANOS_PER_SECOND));
 	}
 
+	private void recordPeerUnits(String teamName, long nowNanos) {
+		TeamPolicy team = this.teams.apply(teamName);
+		if (team != null && team.ratePerSecond() > 0) {
+			double reachableShare = reachableShare(nowNanos);
+			advancedBucket(team, rate(team, reachableShare), capacity(team, reachableShare), nowNanos);
+		}
+	}
+
+	private double reachableShare(long nowNanos) {
+		return (double) this.peers.liveDaemons(nowNanos) / Math.max(1, this.peers.registeredDaemons());
+	}
+
+	private double rate(TeamPolicy team, double reachableShare) {
+		return team.ratePerSecond() * (1 + TOLERANCE_SHARE * this.tolerance) * reachableShare;
+	}
+
+	private double capacity(TeamPolicy team, double reachableShare) {
+		return (team.burst() * (1 + TOLERANCE_SHARE * this.tolerance) + SLACK_SHARE * this.slack) * reachableShare;
+	}
+
+	private Bucket advancedBucket(TeamPolicy team, double rate, double capacity, long nowNanos) {
+		Bucket bucket = this.buckets.computeIfAbsent(team.name(),
+				(name) -> new Bucket(this.startFull ? capacity : 0, this.startNanos));
+		bucket.advance(rate, capacity, this.peers.unitsFromPeers(team.name()), nowNanos);
+		return bucket;
+	}
+
 	/**
 	 * Refunds the units of a request that did not run.
 	 * @param team the team that the request was to run for
@@ -124,10 +166,9 @@
 
 		private long updatedNanos;
 
-		Bucket(double level, long peerUnits, long nowNanos) {
+		Bucket(double level, long startNanos) {
 			this.level = level;
-			this.peerUnits = peerUnits;
-			this.updatedNanos = nowNanos;
+			this.updatedNanos = startNanos;
 		}
 
 		void advance(double perSecond, double capacity, long reportedUnits, long nowNanos) {
--- a/gateway/src/main/java/org/skylarkstack/peers/PeerLink.java
+++ b/gateway/src/main/java/org/skylarkstack/peers/PeerLink.java
@@ -22,7 +22,7 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Sends usage reports over UDP to the daemons that {@link PeerGroups} selects, and
+ * Sends usage reports over UDP to the daemons that {@link ReportRouter} selects, and
  * receives theirs. The time until the next round grows with the number of bytes that a
  * round sends, so that a daemon's traffic stays bounded.
  */
@@ -30,18 +30,9 @@
 
 	private static final Logger log = LoggerFactory.getLogger(PeerLink.class);
 
-	private static final long ROUND_PERIOD_MILLIS = 200;
-
 	// Changes of usage within this time are sent in one report.
 	private static final long BATCH_DELAY_MILLIS = 20;
 
-	// Reports are relayed in every second round.
-	private static final int ROUNDS_PER_RELAY = 2;
-
-	// Maximum age of a relayed report. A process takes longer than this to restart, so
-	// that reports of its previous incarnation are no longer relayed by then.
-	private static final long MAX_RELAY_AGE_NANOS = 2 * ROUND_PERIOD_MILLIS * 1_000_000;
-
 	// Largest datagram that usual links carry without fragmentation.
 	private static final int MAX_DATAGRAM_BYTES = 1_400;
 
@@ -57,12 +48,10 @@
 
 	private final LongFunction<UsageReport> reportFactory;
 
-	private PeerGroups groups;
+	private final ReportRouter router;
 
 	private @Nullable Channel channel;
 
-	private long round;
-
 	private long sequenceNumber;
 
 	private boolean reportScheduled;
@@ -79,7 +68,7 @@
 		this.loop = loop;
 		this.usage = usage;
 		this.reportFactory = reportFactory;
-		this.groups = new PeerGroups(self, List.of());
+		this.router = new ReportRouter(self, usage);
 	}
 
 	/** Binds the socket and starts to send and receive reports. */
@@ -87,7 +76,7 @@
 		this.channel = SocketBinder.bind(
 				new Bootstrap().group(this.loop).channel(NioDatagramChannel.class).handler(new Receiver()),
 				this.self.address());
-		scheduleRound(ROUND_PERIOD_MILLIS);
+		scheduleRound(ReportRouter.ROUND_PERIOD_MILLIS);
 	}
 
 	/**
@@ -95,7 +84,7 @@
 	 * @param peers the other daemons
 	 */
 	public void setPeers(Collection<Peer> peers) {
-		this.groups = new PeerGroups(this.self, peers);
+		this.router.setPeers(peers);
 	}
 
 	/**
@@ -112,13 +101,13 @@
 		this.reportScheduled = false;
 		Channel open = this.channel;
 		if (open != null) {
-			send(open, List.of(ownReport()), this.groups.otherMembers());
+			send(open, this.router.toGroup(ownReport()));
 			open.flush();
 		}
 	}
 
-	private byte[] ownReport() {
-		return UsageCodec.encode(this.reportFactory.apply(++this.sequenceNumber));
+	private UsageReport ownReport() {
+		return this.reportFactory.apply(++this.sequenceNumber);
 	}
 
 	private void scheduleRound(long periodMillis) {
@@ -130,40 +119,20 @@
 		Channel open = this.channel;
 		long sent = 0;
 		if (open != null) {
-			this.round++;
-			byte[] own = ownReport();
-			sent += send(open, List.of(own), this.groups.otherMembers());
-			if (this.round % ROUNDS_PER_RELAY == 0) {
-				sent += relay(open, own);
+			List<ReportTransfer> transfers = this.router.nextRound(ownReport(), System.nanoTime(),
+					System.currentTimeMillis());
+			for (ReportTransfer transfer : transfers) {
+				sent += send(open, transfer);
 			}
 			open.flush();
 		}
-		scheduleRound(Math.max(ROUND_PERIOD_MILLIS, sent * MILLIS_PER_SECOND / MAX_BYTES_PER_SECOND));
-	}
-
-	private long relay(Channel open, byte[] own) {
-		// A difference between clocks only changes, temporarily, which daemon relays to
-		// which.
-		long sharedRound = System.currentTimeMillis() / (ROUNDS_PER_RELAY * ROUND_PERIOD_MILLIS);
-		List<Peer> targets = this.groups.relayTargets(sharedRound);
-		if (targets.isEmpty()) {
-			return 0;
-		}
-		List<byte[]> encoded = new ArrayList<>();
-		encoded.add(own);
-		long now = System.nanoTime();
-		for (Peer member : this.groups.otherMembers()) {
-			UsageReport report = this.usage.latestReportSince(member.vmId(), now - MAX_RELAY_AGE_NANOS);
-			if (report != null) {
-				encoded.add(UsageCodec.encode(report));
-			}
-		}
-		return send(open, datagrams(encoded), targets);
+		scheduleRound(Math.max(ReportRouter.ROUND_PERIOD_MILLIS, sent * MILLIS_PER_SECOND / MAX_BYTES_PER_SECOND));
 	}
 
-	private static long send(Channel open, List<byte[]> datagrams, List<Peer> targets) {
+	private static long send(Channel open, ReportTransfer transfer) {
+		List<byte[]> datagrams = datagrams(transfer.reports().stream().map(UsageCodec::encode).toList());
 		long bytes = 0;
-		for (Peer target : targets) {
+		for (Peer target : transfer.targets()) {
 			for (byte[] datagram : datagrams) {
 				open.write(new DatagramPacket(Unpooled.wrappedBuffer(datagram), target.address()));
 				bytes += datagram.length;
--- a/gateway/src/main/java/org/skylarkstack/peers/PeerUsage.java
+++ b/gateway/src/main/java/org/skylarkstack/peers/PeerUsage.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.ObjLongConsumer;
 
 import org.jspecify.annotations.Nullable;
 
@@ -35,6 +36,18 @@
 
 	private int registeredDaemons = 1;
 
+	private ObjLongConsumer<String> unitsListener = (team, nowNanos) -> {
+	};
+
+	/**
+	 * Sets the listener for units that peers report.
+	 * @param listener called with the team and the current monotonic time in nanoseconds
+	 * after the units of a team have changed
+	 */
+	public void onUnitsReported(ObjLongConsumer<String> listener) {
+		this.unitsListener = listener;
+	}
+
 	/**
 	 * Sets the registered peers, and discards the reports of all other daemons.
 	 * @param peers the VM names of the other daemons
@@ -65,9 +78,13 @@
 		// The first report of a process only sets the baseline, because units that the
 		// peer took shortly before it cannot be distinguished from units that it took
 		// long ago. This is why team limits start empty after a daemon has started.
+		List<String> changedTeams = new ArrayList<>();
 		for (Map.Entry<String, Long> entry : report.unitsByTeam().entrySet()) {
 			long taken = entry.getValue() - baseline.getOrDefault(entry.getKey(), 0L);
-			this.unitsFromPeers.merge(entry.getKey(), taken, Long::sum);
+			if (taken != 0) {
+				this.unitsFromPeers.merge(entry.getKey(), taken, Long::sum);
+				changedTeams.add(entry.getKey());
+			}
 		}
 		if (previous != null) {
 			removeMemory(previous.report);
@@ -78,6 +95,7 @@
 		for (String engine : report.memoryByEngine().keySet()) {
 			this.reportsByEngine.computeIfAbsent(engine, (key) -> new HashMap<>()).put(report.vmId(), received);
 		}
+		changedTeams.forEach((team) -> this.unitsListener.accept(team, nowNanos));
 	}
 
 	private void removeMemory(UsageReport previous) {
--- a/gateway/src/test/java/org/skylarkstack/gateway/TeamLimitsTests.java
+++ b/gateway/src/test/java/org/skylarkstack/gateway/TeamLimitsTests.java
@@ -24,6 +24,10 @@
 		return new GatewaySettings("vm", "a", firstStart, 5_000, 0.2, 54, 10, 8, 0.1, slack, 8);
 	}
 
+	private TeamLimits limits(GatewaySettings settings) {
+		return new TeamLimits(settings, this.peers, (name) -> TEAM, 0);
+	}
+
 	private void report(long number, long taken, long nowMillis) {
 		this.peers.recordReport(new UsageReport("peer", 1, number, Map.of("team", taken), Map.of(), Set.of(), Map.of()),
 				nowMillis * MILLI);
@@ -33,7 +37,7 @@
 	@Test
 	void unitsTakenByPeersAreNotGrantedAgain() {
 		this.peers.setRegisteredPeers(Set.of("peer"));
-		TeamLimits limits = new TeamLimits(settings(true, 0), this.peers);
+		TeamLimits limits = limits(settings(true, 0));
 		report(1, 0, 0);
 		assertThat(limits.tryTake(TEAM, 100, 0)).isEqualTo(0);
 		report(2, 900, 10);
@@ -47,7 +51,7 @@
 	@Test
 	void oneDaemonMayGrantTheWholeLimit() {
 		this.peers.setRegisteredPeers(Set.of("peer"));
-		TeamLimits limits = new TeamLimits(settings(true, 0), this.peers);
+		TeamLimits limits = limits(settings(true, 0));
 		report(1, 0, 0);
 		assertThat(limits.tryTake(TEAM, 1_000, 0)).isEqualTo(0);
 	}
@@ -59,7 +63,7 @@
 	@Test
 	void unreachablePeersKeepTheirShare() {
 		this.peers.setRegisteredPeers(Set.of("peer"));
-		TeamLimits limits = new TeamLimits(settings(true, 0), this.peers);
+		TeamLimits limits = limits(settings(true, 0));
 		long granted = 0;
 		for (long now = 0; now < 8_000; now += 10) {
 			granted += (limits.tryTake(TEAM, 10, now * MILLI) == 0) ? 10 : 0;
@@ -73,18 +77,42 @@
 	 */
 	@Test
 	void aRestartedDaemonStartsWithAnEmptyBucket() {
-		TeamLimits limits = new TeamLimits(settings(false, 0), this.peers);
+		TeamLimits limits = limits(settings(false, 0));
 		assertThat(limits.tryTake(TEAM, 500, 0)).isGreaterThan(0L);
 		assertThat(limits.tryTake(TEAM, 500, 600 * MILLI)).isEqualTo(0);
 	}
 
+	/**
+	 * Guards against a daemon that grants the full burst when the first request of a team
+	 * arrives, although the team has used it at other daemons.
+	 */
+	@Test
+	void unitsTakenByPeersBeforeTheFirstRequestCount() {
+		this.peers.setRegisteredPeers(Set.of("peer"));
+		TeamLimits limits = limits(settings(true, 0));
+		report(1, 0, 0);
+		report(2, 4_000, 2_900);
+		report(3, 5_000, 3_000);
+		assertThat(limits.tryTake(TEAM, 500, 3_000 * MILLI)).isGreaterThan(0L);
+	}
+
+	/**
+	 * Guards against a team that is refused within its limit because a restarted daemon
+	 * receives its first request long after the restart.
+	 */
+	@Test
+	void theBucketOfARestartedDaemonFillsBeforeTheFirstRequest() {
+		TeamLimits limits = limits(settings(false, 0));
+		assertThat(limits.tryTake(TEAM, 900, 2_000 * MILLI)).isEqualTo(0);
+	}
+
 	/**
 	 * Guards against a team that is refused because requests that never ran still count
 	 * against its limit.
 	 */
 	@Test
 	void unitsOfRequestsThatDidNotRunAreRefunded() {
-		TeamLimits limits = new TeamLimits(settings(true, 0), this.peers);
+		TeamLimits limits = limits(settings(true, 0));
 		assertThat(limits.tryTake(TEAM, 1_000, 0)).isEqualTo(0);
 		assertThat(limits.tryTake(TEAM, 1_000, 0)).isGreaterThan(0L);
 		limits.refund(TEAM, 1_000);
@@ -97,7 +125,7 @@
 	 */
 	@Test
 	void smallRequestsMayUseTheReserve() {
-		TeamLimits limits = new TeamLimits(settings(true, 100_000), this.peers);
+		TeamLimits limits = limits(settings(true, 100_000));
 		assertThat(limits.tryTake(TEAM, 51_000, 0)).isEqualTo(0);
 		assertThat(limits.tryTake(TEAM, 5_000, 0)).isGreaterThan(0L);
 		assertThat(limits.tryTake(TEAM, 200, 0)).isEqualTo(0);
