Answer connections in the backlog at a stop and slow callers to the end

Causes, each shown by a test that failed on: - a connection that was established but not yet accepted when the listener closed was reset, with its request (connectionsInTheBacklogAreAnsweredAtAStop: connection reset); - a connection that closes after its response was closed 500 ms after the response had been queued, not sent, so a slow caller got part of it (aSlowCallerReceivesItsWholeResponseBeforeTheConnectionCloses).

ListenerChannel replaces Netty's listening channel.

--- a/gateway/src/main/java/org/skylarkstack/edge/CallerConnection.java
+++ b/gateway/src/main/java/org/skylarkstack/edge/CallerConnection.java
@@ -216,15 +216,18 @@
 		closeAfterLinger();
 	}
 
+	// The delay begins when the caller has received the response, which a slow caller
+	// reads only later. A caller that never reads it is disconnected as an idle one.
 	private void closeAfterLinger() {
 		this.ignoringInput = true;
+		this.idleSinceNanos = System.nanoTime();
 		Channel open = channel();
 		open.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener((future) -> {
 			if (open instanceof SocketChannel socket && open.isActive()) {
 				socket.shutdownOutput();
 			}
+			open.eventLoop().schedule(() -> open.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
 		});
-		open.eventLoop().schedule(() -> open.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
 	void closeIfIdle() {
@@ -234,11 +237,11 @@
 	}
 
 	void closeIfTimedOut(long nowNanos) {
-		if (this.exchange != null || this.ignoringInput) {
+		if (this.exchange != null) {
 			return;
 		}
 		EdgeLimits limits = this.server.currentLimits();
-		if (this.receiving) {
+		if (this.receiving && !this.ignoringInput) {
 			if (nowNanos - this.receivingSinceNanos > limits.requestTimeoutMillis() * NANOS_PER_MILLI) {
 				reject(408, "the request did not arrive in time");
 			}
--- a/gateway/src/main/java/org/skylarkstack/edge/EdgeServer.java
+++ b/gateway/src/main/java/org/skylarkstack/edge/EdgeServer.java
@@ -14,7 +14,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
 import org.jspecify.annotations.Nullable;
@@ -26,8 +25,6 @@
  */
 public final class EdgeServer {
 
-	private static final int BACKLOG = 1_024;
-
 	private static final int MAX_REQUEST_LINE_BYTES = 8_192;
 
 	private static final long SWEEP_MILLIS = 250;
@@ -63,9 +60,7 @@
 	 */
 	public void listen(InetSocketAddress address, EventLoopGroup acceptors) {
 		this.listener = SocketBinder.bind(new ServerBootstrap().group(acceptors)
-			.channel(NioServerSocketChannel.class)
-			.option(ChannelOption.SO_BACKLOG, BACKLOG)
-			.option(ChannelOption.SO_REUSEADDR, true)
+			.channel(ListenerChannel.class)
 			.childOption(ChannelOption.TCP_NODELAY, true)
 			.childHandler(new Initializer()), address);
 		this.loop.scheduleWithFixedDelay(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
@@ -81,16 +76,26 @@
 
 	/**
 	 * Stops accepting connections, and closes those on which no request is being received
-	 * or handled.
+	 * or handled. Connections that were established before are accepted first; those
+	 * without a request are closed by a later call.
 	 */
 	public void closeIdle() {
-		Channel open = this.listener;
-		if (open != null) {
+		if (this.listener instanceof ListenerChannel open && open.isOpen()) {
+			open.acceptWaiting();
 			open.close();
+			return;
 		}
 		List.copyOf(this.connections).forEach(CallerConnection::closeIfIdle);
 	}
 
+	/**
+	 * Returns the number of open connections.
+	 * @return the number, which includes connections whose last response is being sent
+	 */
+	public int openConnections() {
+		return this.connections.size();
+	}
+
 	boolean isClosing() {
 		return this.closing;
 	}
--- a/gateway/src/test/java/org/skylarkstack/edge/EdgeServerTests.java
+++ b/gateway/src/test/java/org/skylarkstack/edge/EdgeServerTests.java
@@ -10,6 +10,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
@@ -29,6 +30,9 @@
 
 	private static final int READ_TIMEOUT_MILLIS = 5_000;
 
+	// More than the socket buffers of both ends hold.
+	private static final int LARGE_BYTES = 32 * 1024 * 1024;
+
 	private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 
 	private final BlockingQueue<String> events = new LinkedBlockingQueue<>();
@@ -65,6 +69,9 @@
 			response.write("part".getBytes(StandardCharsets.UTF_8));
 			response.abort();
 		}
+		else if (request.target().startsWith("/large")) {
+			response.send(200, new DefaultHttpHeaders(), new byte[LARGE_BYTES]);
+		}
 		else {
 			response.send(200, new DefaultHttpHeaders(), request.target().getBytes(StandardCharsets.UTF_8));
 		}
@@ -203,4 +210,69 @@
 		}
 	}
 
+	/**
+	 * Guards against a connection that is reset at a stop although its caller has sent a
+	 * request, because it was still waiting in the backlog.
+	 */
+	@Test
+	void connectionsInTheBacklogAreAnsweredAtAStop() throws Exception {
+		CountDownLatch blocked = new CountDownLatch(1);
+		CountDownLatch released = new CountDownLatch(1);
+		this.group.next().execute(() -> {
+			blocked.countDown();
+			awaitUninterruptibly(released);
+		});
+		blocked.await();
+		try (Socket socket = connect("GET /late HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")) {
+			this.group.next().execute(this.server::closeIdle);
+			released.countDown();
+			assertThat(new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8)).contains("/late");
+		}
+	}
+
+	private static void awaitUninterruptibly(CountDownLatch latch) {
+		try {
+			latch.await();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	/**
+	 * Guards against a response that is cut off, and a process that exits, while a slow
+	 * caller is still reading.
+	 */
+	@Test
+	void aSlowCallerReceivesItsWholeResponseBeforeTheConnectionCloses() throws Exception {
+		try (Socket socket = connect("GET /large HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")) {
+			assertThat(this.events.poll(READ_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).startsWith("GET /large");
+			Thread.sleep(1_000);
+			assertThat(openConnections()).isEqualTo(1);
+			assertThat(socket.getInputStream().readAllBytes().length).isAtLeast(LARGE_BYTES);
+		}
+		for (int attempt = 0; attempt < 100 && openConnections() > 0; attempt++) {
+			Thread.sleep(20);
+		}
+		assertThat(openConnections()).isEqualTo(0);
+	}
+
+	private int openConnections() {
+		return this.group.next().submit(this.server::openConnections).syncUninterruptibly().getNow();
+	}
+
+	/** Guards against a connection that stays open because its caller never reads. */
+	@Test
+	void aCallerThatNeverReadsIsDisconnected() throws Exception {
+		this.limits = new EdgeLimits(2_048, 1_000, 300, 600);
+		try (Socket socket = connect("GET /large HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")) {
+			assertThat(this.events.poll(READ_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).startsWith("GET /large");
+			for (int attempt = 0; attempt < 250 && openConnections() > 0; attempt++) {
+				Thread.sleep(20);
+			}
+			assertThat(openConnections()).isEqualTo(0);
+			assertThat(socket.isClosed()).isFalse();
+		}
+	}
+
 }
