--- a/gateway/src/main/java/org/skylarkstack/gateway/StreamAdmission.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/StreamAdmission.java
@@ -11,6 +11,8 @@
 import org.jspecify.annotations.Nullable;
 import org.skylarkstack.peers.PeerUsage;
 import org.skylarkstack.peers.RequestMemory;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Admits stream requests to decode engines. Each service has a queue, which is processed
@@ -18,6 +20,8 @@
  */
 public final class StreamAdmission {
 
+	private static final Logger log = LoggerFactory.getLogger(StreamAdmission.class);
+
 	// This daemon detects capacity that peers have freed only from their reports, so the
 	// queues are also processed at this interval.
 	private static final long POLL_INTERVAL_MILLIS = 40;
@@ -128,15 +132,8 @@
 		long now = System.nanoTime();
 		boolean anyWaiting = false;
 		for (Map.Entry<String, StreamQueue> entry : this.queues.entrySet()) {
-			EngineProfile profile = this.profiles.get(entry.getKey());
-			if (profile != null && entry.getValue().size() > 0) {
-				List<BackendState> engines = this.backends.candidates(entry.getKey(), BackendRole.DECODE,
-						(node) -> false);
-				List<BackendState> prefill = this.backends.candidates(entry.getKey(), BackendRole.PREFILL,
-						(node) -> isChangingRole(node, now));
-				entry.getValue()
-					.advance((stream) -> prefillBusy(prefill, now) ? null
-							: this.decodeEngineChooser.choose(engines, profile, stream.memory(), now), now);
+			if (entry.getValue().size() > 0) {
+				advance(entry.getKey(), entry.getValue(), now);
 				anyWaiting |= entry.getValue().size() > 0;
 			}
 		}
@@ -150,4 +147,23 @@
 		}
 	}
 
+	// A stream that cannot be admitted because of an unexpected error has left the queue.
+	// The others are admitted in the next pass.
+	private void advance(String service, StreamQueue queue, long now) {
+		EngineProfile profile = this.profiles.get(service);
+		if (profile == null) {
+			return;
+		}
+		List<BackendState> engines = this.backends.candidates(service, BackendRole.DECODE, (node) -> false);
+		List<BackendState> prefill = this.backends.candidates(service, BackendRole.PREFILL,
+				(node) -> isChangingRole(node, now));
+		try {
+			queue.advance((stream) -> prefillBusy(prefill, now) ? null
+					: this.decodeEngineChooser.choose(engines, profile, stream.memory(), now), now);
+		}
+		catch (RuntimeException ex) {
+			log.atError().addKeyValue("event", "admission-failed").addKeyValue("service", service).setCause(ex).log();
+		}
+	}
+
 }
--- a/gateway/src/main/java/org/skylarkstack/peers/PeerLink.java
+++ b/gateway/src/main/java/org/skylarkstack/peers/PeerLink.java
@@ -118,17 +118,26 @@
 	private void runRound() {
 		Channel open = this.channel;
 		long sent = 0;
-		if (open != null) {
-			List<ReportTransfer> transfers = this.router.nextRound(ownReport(), System.nanoTime(),
-					System.currentTimeMillis());
-			for (ReportTransfer transfer : transfers) {
-				sent += send(open, transfer);
-			}
-			open.flush();
+		try {
+			sent = (open != null) ? sendRound(open) : 0;
+		}
+		catch (RuntimeException ex) {
+			log.atError().addKeyValue("event", "peer-round-failed").setCause(ex).log();
 		}
 		scheduleRound(Math.max(ReportRouter.ROUND_PERIOD_MILLIS, sent * MILLIS_PER_SECOND / MAX_BYTES_PER_SECOND));
 	}
 
+	private long sendRound(Channel open) {
+		long sent = 0;
+		List<ReportTransfer> transfers = this.router.nextRound(ownReport(), System.nanoTime(),
+				System.currentTimeMillis());
+		for (ReportTransfer transfer : transfers) {
+			sent += send(open, transfer);
+		}
+		open.flush();
+		return sent;
+	}
+
 	private static long send(Channel open, ReportTransfer transfer) {
 		List<byte[]> datagrams = datagrams(transfer.reports().stream().map(UsageCodec::encode).toList());
 		long bytes = 0;
