Complete a shutdown although a caller keeps its connection busy

Cause: since the HTTP server waits 2 s for its connections at a stop and then reports a timeout. Daemon.close passed the exception on and left the operators' server, the tasks and the fleet services running. Shown by daemonStopsAlthoughACallerKeepsItsConnectionBusy, which failed before.

Change: the daemon logs connections_closed_at_stop and goes on. The server has closed its connections by then.

--- a/bench/src/test/java/org/skylarkstack/fleet/LocalFleetTests.java
+++ b/bench/src/test/java/org/skylarkstack/fleet/LocalFleetTests.java
@@ -1,5 +1,8 @@
 package org.skylarkstack.fleet;
 
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
@@ -84,6 +87,34 @@
 		return response.isCompleteStream();
 	}
 
+	/**
+	 * Guards against a shutdown that fails halfway because a caller keeps its connection
+	 * busy without completing its request.
+	 */
+	@Test
+	void daemonStopsAlthoughACallerKeepsItsConnectionBusy() throws Exception {
+		try (LocalFleet fleet = LocalFleet.start(plan());
+				Socket socket = new Socket("127.0.0.1", fleet.daemon("vm-1").callerPort())) {
+			socket.getOutputStream().write("GET /readyz HTTP/1.1\r\nX-Slow: ".getBytes(StandardCharsets.UTF_8));
+			CompletableFuture<Void> sender = CompletableFuture.runAsync(() -> sendUntilClosed(socket));
+			fleet.stopDaemon("vm-1");
+			assertThat(fleet.vmIds()).containsExactly("vm-2");
+			sender.join();
+		}
+	}
+
+	private static void sendUntilClosed(Socket socket) {
+		try {
+			while (true) {
+				socket.getOutputStream().write('x');
+				Thread.sleep(50);
+			}
+		}
+		catch (IOException | InterruptedException ex) {
+			// The daemon closed the connection.
+		}
+	}
+
 	/** Guards against services and routes of the plan that are missing in the ticket. */
 	@Test
 	void firstTicketSetsUpServicesAndRoutes() {
--- a/daemon/src/main/java/org/skylarkstack/daemon/Daemon.java
+++ b/daemon/src/main/java/org/skylarkstack/daemon/Daemon.java
@@ -3,6 +3,7 @@
 import java.util.List;
 
 import io.javalin.Javalin;
+import io.javalin.util.JavalinException;
 import jakarta.inject.Inject;
 import jakarta.inject.Singleton;
 import org.eclipse.jetty.io.EndPoint;
@@ -177,6 +178,20 @@
 		return phase;
 	}
 
+	// A server also stops, but reports a failure, if a caller keeps its connection busy
+	// beyond the stop timeout.
+	private static void stop(Javalin server) {
+		try {
+			server.stop();
+		}
+		catch (JavalinException ex) {
+			LOG.atWarn()
+				.addKeyValue("event", "connections_closed_at_stop")
+				.addKeyValue("reason", ex.getMessage())
+				.log();
+		}
+	}
+
 	private static boolean sleepUntilNextPoll() {
 		try {
 			Thread.sleep(SHUTDOWN_POLL_MILLIS);
@@ -200,8 +215,8 @@
 				connector.getConnectedEndPoints().forEach(EndPoint::close);
 			}
 		}
-		this.callerServer.stop();
-		this.operatorServer.stop();
+		stop(this.callerServer);
+		stop(this.operatorServer);
 		this.fleetServices.kill();
 	}
 
@@ -219,8 +234,8 @@
 				&& sleepUntilNextPoll(); polls++) {
 			this.openRequests.endAll();
 		}
-		this.callerServer.stop();
-		this.operatorServer.stop();
+		stop(this.callerServer);
+		stop(this.operatorServer);
 		this.requestDuties.close();
 		this.fleetServices.close();
 	}
