Bound the wait for a loan in large fleets, and mend a comment

With a heartbeat period of 6 s (350 VMs), two periods are longer than callers wait; the wait is now at most 2 s. No change for up to 58 VMs.

--- a/runtime/src/main/java/org/skylarkstack/engine/HeadTimeout.java
+++ b/runtime/src/main/java/org/skylarkstack/engine/HeadTimeout.java
@@ -7,6 +7,7 @@
 import okhttp3.Call;
 import okhttp3.Response;
 import okio.AsyncTimeout;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Timeout for the complete head of a response. A read timeout alone does not end a head
@@ -51,7 +52,7 @@
 		return response;
 	}
 
-	private static IOException expired(int millis, @org.jspecify.annotations.Nullable IOException cause) {
+	private static IOException expired(int millis, @Nullable IOException cause) {
 		InterruptedIOException failure = new InterruptedIOException(
 				"the response head was not complete within %d ms".formatted(millis));
 		failure.initCause(cause);
--- a/runtime/src/main/java/org/skylarkstack/http/CallerApi.java
+++ b/runtime/src/main/java/org/skylarkstack/http/CallerApi.java
@@ -128,10 +128,8 @@
 		config.routes.exception(Exception.class, CallerApi::handleInternalError);
 	}
 
-	// The server sends the end of a response after the handler has returned, so the slot
-	// is
-	// held until the response is complete: a shutdown must not close its connection
-	// before.
+	// The server sends the end of a response after the handler has returned. The slot is
+	// held until then, so that a shutdown does not close the connection too early.
 	private Handler withOpenRequestSlot(Handler handler) {
 		return (context) -> {
 			if (!this.ready.getAsBoolean()) {
--- a/runtime/src/main/java/org/skylarkstack/limit/LendingTerms.java
+++ b/runtime/src/main/java/org/skylarkstack/limit/LendingTerms.java
@@ -31,6 +31,9 @@
 	/** A loan is sent with the next heartbeat, and again with the one after it. */
 	private static final int HEARTBEATS_UNTIL_LOAN = 2;
 
+	/** Longest time that a reservation waits for a loan in a large fleet. */
+	private static final long MAX_LOAN_WAIT_SECONDS = 2;
+
 	/** Checks that a loan lasts longer than the grants that it backs. */
 	public LendingTerms {
 		if (loanTermNanos <= grantTermNanos * (1 + driftShare)) {
@@ -47,7 +50,8 @@
 	public static LendingTerms forPeriod(long heartbeatPeriodNanos) {
 		return new LendingTerms(4 * 3600 * NANOS_PER_SECOND, 300 * NANOS_PER_SECOND, 2 * NANOS_PER_SECOND,
 				Math.max(MIN_LOAN_TERM_SECONDS * NANOS_PER_SECOND, 3 * heartbeatPeriodNanos), 2 * NANOS_PER_SECOND,
-				0.01, 8_000_000L, HEARTBEATS_UNTIL_LOAN * heartbeatPeriodNanos);
+				0.01, 8_000_000L,
+				Math.min(MAX_LOAN_WAIT_SECONDS * NANOS_PER_SECOND, HEARTBEATS_UNTIL_LOAN * heartbeatPeriodNanos));
 	}
 
 	/**
