--- a/gateway/src/main/java/org/skylarkstack/gateway/Attempt.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/Attempt.java
@@ -144,6 +144,8 @@
 					.addKeyValue("id", this.exchange.context().facts().requestId())
 					.addKeyValue("server", server().node().id())
 					.addKeyValue("fingerprint", Long.toHexString(fingerprint))
+					.addKeyValue("sharedParts", this.exchange.context().facts().sharedParts())
+					.addKeyValue("responseStarted", this.responseHead != null)
 					.log();
 			}
 		});
--- a/gateway/src/main/java/org/skylarkstack/gateway/RequestFacts.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/RequestFacts.java
@@ -1,5 +1,7 @@
 package org.skylarkstack.gateway;
 
+import java.util.List;
+
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -17,9 +19,18 @@
  * negative number if not stated
  * @param lastEventId the identifier of the last event that the caller has received, or
  * {@code null}
+ * @param sharedParts the identifiers of the parts of the prompt that other requests may
+ * have in common with it, in order; empty if not stated
  */
 public record RequestFacts(String requestId, String host, @Nullable String key, long timeoutMillis, long promptTokens,
-		long outputTokens, long expectedOutputTokens, @Nullable String lastEventId) {
+		long outputTokens, long expectedOutputTokens, @Nullable String lastEventId, List<String> sharedParts) {
+
+	/**
+	 * Creates the facts with an unmodifiable copy of the list.
+	 */
+	public RequestFacts {
+		sharedParts = List.copyOf(sharedParts);
+	}
 
 	/**
 	 * Returns the number of tokens that the request states.
