Attribute crashes to the prompt parts that requests have in common

Callers saw: requests with one part of a prompt crashed decode engines one after the other; other streams broke or were refused with 1105 and 1301.

Cause: crash suspects were identified by method, target, key and whole body. No two requests with the part are alike, so each got two crashes of its own. All requests running at a crash were suspects, also those in the middle of their responses, so harmless ones were refused. A retry within an exchange was not checked at all.

Change: CrashAnalysis (kernel) takes the observations of all daemons. A part is blocked when it was in different requests, before their responses started, at two crashes at different moments (three if it has been in a started response before) and has not succeeded since. Among several, the one that explains the most crashes is blocked; explained crashes no longer count against others. Blocks spread with the usage reports and outlive their author; they end after a time that doubles, and a started response removes them. Every send checks for blocks.

--- a/gateway/src/main/java/org/skylarkstack/gateway/Attempt.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/Attempt.java
@@ -92,6 +92,18 @@
 		return true;
 	}
 
+	/**
+	 * Returns whether the server has begun to write a response in this attempt.
+	 * @return whether part of the response itself, beyond its head, was received
+	 */
+	boolean responseStarted() {
+		return false;
+	}
+
+	final long sentNanos() {
+		return this.startedNanos;
+	}
+
 	/**
 	 * Called when the head of the response was received and the exchange is still open.
 	 */
@@ -133,19 +145,22 @@
 
 	// A connection also breaks when only the response is lost. The server counts as
 	// crashed only if it accepts no new connection.
-	private void checkForCrash() {
+	final void checkForCrash() {
 		GatewayComponents components = this.exchange.components();
-		long fingerprint = this.exchange.context().fingerprint();
+		ExchangeContext context = this.exchange.context();
+		boolean started = responseStarted();
+		long brokenNanos = System.nanoTime();
 		components.backendClient().probe(server().node().address(), (reachable) -> {
 			if (!reachable) {
-				components.suspects().recordCrash(fingerprint, System.nanoTime());
+				components.suspects().recordCrash(server().node(), context, started, brokenNanos, System.nanoTime());
+				components.admission().notifyUsageChanged();
 				log.atWarn()
 					.addKeyValue("event", "crash-suspect")
-					.addKeyValue("id", this.exchange.context().facts().requestId())
+					.addKeyValue("id", context.facts().requestId())
 					.addKeyValue("server", server().node().id())
-					.addKeyValue("fingerprint", Long.toHexString(fingerprint))
-					.addKeyValue("sharedParts", this.exchange.context().facts().sharedParts())
-					.addKeyValue("responseStarted", this.responseHead != null)
+					.addKeyValue("fingerprint", context.fingerprint())
+					.addKeyValue("sharedParts", context.facts().sharedParts())
+					.addKeyValue("responseStarted", started)
 					.log();
 			}
 		});
--- a/gateway/src/main/java/org/skylarkstack/gateway/CrashSuspects.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/CrashSuspects.java
@@ -1,95 +1,200 @@
 package org.skylarkstack.gateway;
 
+import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
+import org.jspecify.annotations.Nullable;
+import org.skylarkstack.crash.CrashAnalysis;
+import org.skylarkstack.crash.CrashObservation;
+import org.skylarkstack.crash.PartBlock;
+import org.skylarkstack.kernel.ErrorType;
+import org.skylarkstack.kernel.RouterException;
+import org.skylarkstack.peers.CrashReport;
 import org.skylarkstack.peers.PeerUsage;
+import org.skylarkstack.peers.ReportedBlock;
+import org.skylarkstack.peers.ReportedCrash;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
- * Requests that were running at a backend server when it crashed, any of which may have
- * caused the crash.
+ * Requests and parts of prompts that are suspected of crashing backend servers.
  *
  * <p>
- * All requests that a crashed server was running become suspects, although most of them
- * are harmless. A successful response clears a request, and a suspicion expires after a
- * fixed time. A request that was running at too many crashes, counted over all daemons,
- * is refused, because it would crash one server after the other. Confined to one thread.
+ * Feeds {@link CrashAnalysis} with what this daemon has detected and what its peers have
+ * reported. Own crashes are reported for as long as they count. Blocked parts are
+ * reported by every daemon that knows them, so that they outlive the daemon that has
+ * detected the crashes. Confined to one thread.
  */
 public final class CrashSuspects {
 
-	/** Number of crashes after which a request is refused. */
-	static final int MAX_CRASHES = 2;
+	private static final Logger log = LoggerFactory.getLogger(CrashSuspects.class);
 
-	private static final long SUSPICION_TTL_NANOS = 60_000_000_000L;
+	private static final long RETENTION_NANOS = 60_000_000_000L;
 
-	private static final int MAX_SUSPECTS = 256;
+	private static final long NANOS_PER_MILLI = 1_000_000;
 
-	private final PeerUsage peers;
+	// Time that a report may take to arrive, relayed through other daemons. A success
+	// counts as that much older, so that it does not clear a later crash.
+	private static final long MAX_RELAY_NANOS = 1_000_000_000L;
 
-	private final Map<Long, Suspicion> suspicions = new HashMap<>();
+	private static final int MAX_REPORTED_CRASHES = 32;
+
+	private final CrashAnalysis analysis;
+
+	private final List<CrashObservation> ownCrashes = new ArrayList<>();
+
+	// Parts that peers have blocked, and when they last reported it.
+	private final Map<String, Long> peerBlocks = new HashMap<>();
 
 	/**
 	 * Creates an instance without suspects.
 	 * @param peers the reports of the other daemons, which include the crashes that they
 	 * detected
+	 * @param spread where the blocks of this daemon end in comparison with those of other
+	 * daemons, from 0 (first) to 1 (last)
 	 */
-	public CrashSuspects(PeerUsage peers) {
-		this.peers = peers;
+	public CrashSuspects(PeerUsage peers, double spread) {
+		this.analysis = new CrashAnalysis(RETENTION_NANOS, spread);
+		peers.onCrashesReported(this::recordReport);
 	}
 
 	/**
 	 * Records that a server crashed while it was running a request.
-	 * @param fingerprint the hash of method, target, key and body, as returned by
-	 * {@link ExchangeContext#fingerprint()}
+	 * @param server the server
+	 * @param context the request
+	 * @param started whether the response of the server had started
+	 * @param crashedNanos the monotonic time of the crash in nanoseconds
 	 * @param nowNanos the current monotonic time in nanoseconds
 	 */
-	void recordCrash(long fingerprint, long nowNanos) {
-		expire(nowNanos);
-		if (this.suspicions.size() < MAX_SUSPECTS) {
-			this.suspicions.merge(fingerprint, new Suspicion(1, nowNanos),
-					(previous, latest) -> new Suspicion(previous.crashes + 1, nowNanos));
-		}
+	void recordCrash(BackendNode server, ExchangeContext context, boolean started, long crashedNanos, long nowNanos) {
+		String crashId = server.id() + "/" + server.startedMillis();
+		CrashObservation crash = new CrashObservation(crashId, context.fingerprint(), context.sharedPartKeys(), started,
+				crashedNanos);
+		this.ownCrashes.add(crash);
+		logBlocked(this.analysis.record(crash, nowNanos), crash);
 	}
 
 	/**
-	 * Clears a request that was completed.
-	 * @param fingerprint the hash of method, target, key and body
+	 * Records that a server has started the response to a request.
+	 * @param context the request
+	 * @param sentNanos the monotonic time at which it was sent to the server, in
+	 * nanoseconds
+	 * @param nowNanos the current monotonic time in nanoseconds
 	 */
-	void clear(long fingerprint) {
-		this.suspicions.remove(fingerprint);
+	void recordStarted(ExchangeContext context, long sentNanos, long nowNanos) {
+		logUnblocked(this.analysis.recordSuccess(context.sharedPartKeys(), sentNanos, nowNanos));
+	}
+
+	/**
+	 * Records that a request was completed.
+	 * @param context the request
+	 * @param sentNanos the monotonic time at which it was sent to the server, in
+	 * nanoseconds
+	 * @param nowNanos the current monotonic time in nanoseconds
+	 */
+	void recordCompleted(ExchangeContext context, long sentNanos, long nowNanos) {
+		if (this.analysis.isSuspect(context.fingerprint())) {
+			this.analysis.recordSuccess(List.of(context.fingerprint()), sentNanos, nowNanos);
+		}
 	}
 
 	/**
-	 * Returns whether a request must be refused.
-	 * @param fingerprint the hash of method, target, key and body
+	 * Returns the reason for which a request must not be sent to a server.
+	 * @param context the request
 	 * @param nowNanos the current monotonic time in nanoseconds
-	 * @return whether it was running at too many crashes
+	 * @return the refusal, with the time until the request may be tried again, or
+	 * {@code null} if it may run
 	 */
-	boolean refuses(long fingerprint, long nowNanos) {
-		expire(nowNanos);
-		Suspicion own = this.suspicions.get(fingerprint);
-		int crashes = (own != null) ? own.crashes : 0;
-		return crashes + this.peers.crashesSeenByPeers(fingerprint) >= MAX_CRASHES;
+	@Nullable RouterException refusal(ExchangeContext context, long nowNanos) {
+		if (this.analysis.isEmpty()) {
+			return null;
+		}
+		long partNanos = this.analysis.partRefusalNanos(context.sharedPartKeys(), nowNanos);
+		if (partNanos > 0) {
+			return RouterException.retryAfter(ErrorType.PROMPT_PART_BLOCKED, Duration.ofNanos(partNanos));
+		}
+		long requestNanos = this.analysis.requestRefusalNanos(context.fingerprint(), nowNanos);
+		return (requestNanos > 0) ? RouterException.retryAfter(ErrorType.CRASH_SUSPECT, Duration.ofNanos(requestNanos),
+				CrashAnalysis.MAX_CRASHES) : null;
 	}
 
 	/**
-	 * Returns the crashes that this daemon has detected and that have not expired.
+	 * Returns what the peers need to know.
 	 * @param nowNanos the current monotonic time in nanoseconds
-	 * @return the number of crashes by request fingerprint
+	 * @return the report of this daemon
 	 */
-	public Map<Long, Integer> crashes(long nowNanos) {
-		expire(nowNanos);
-		Map<Long, Integer> crashes = new HashMap<>();
-		this.suspicions.forEach((fingerprint, suspicion) -> crashes.put(fingerprint, suspicion.crashes));
+	public CrashReport report(long nowNanos) {
+		this.ownCrashes.removeIf((crash) -> nowNanos - crash.nanos() > RETENTION_NANOS);
+		this.peerBlocks.values().removeIf((since) -> nowNanos - since > RETENTION_NANOS);
+		if (this.ownCrashes.isEmpty() && this.peerBlocks.isEmpty() && this.analysis.isEmpty()) {
+			return CrashReport.NONE;
+		}
+		Map<String, Long> successAges = new HashMap<>();
+		this.analysis.relevantSuccesses(this.peerBlocks.keySet())
+			.forEach((key, sentNanos) -> successAges.put(key, ageMillis(sentNanos, nowNanos)));
+		Map<String, ReportedBlock> blocks = new HashMap<>();
+		this.analysis.blocks()
+			.forEach((part, block) -> blocks.put(part,
+					new ReportedBlock(block.level(), ageMillis(block.sinceNanos(), nowNanos))));
+		return new CrashReport(reportedCrashes(nowNanos), successAges, blocks);
+	}
+
+	// Requests whose response had not started come first, because they may be the cause.
+	private List<ReportedCrash> reportedCrashes(long nowNanos) {
+		List<ReportedCrash> crashes = new ArrayList<>();
+		for (boolean started : new boolean[] { false, true }) {
+			for (int index = this.ownCrashes.size() - 1; index >= 0; index--) {
+				CrashObservation crash = this.ownCrashes.get(index);
+				if (crash.started() == started && crashes.size() < MAX_REPORTED_CRASHES) {
+					crashes.add(new ReportedCrash(crash.crashId(), crash.request(), crash.parts(), started,
+							ageMillis(crash.nanos(), nowNanos)));
+				}
+			}
+		}
 		return crashes;
 	}
 
-	private void expire(long nowNanos) {
-		this.suspicions.values().removeIf((suspicion) -> nowNanos - suspicion.lastCrashNanos > SUSPICION_TTL_NANOS);
+	private void recordReport(CrashReport report, long nowNanos) {
+		report.successAges()
+			.forEach((key, age) -> logUnblocked(this.analysis.recordSuccess(List.of(key),
+					nowNanos - age * NANOS_PER_MILLI - MAX_RELAY_NANOS, nowNanos)));
+		for (ReportedCrash crash : report.crashes()) {
+			CrashObservation observation = new CrashObservation(crash.crashId(), crash.request(), crash.parts(),
+					crash.started(), nowNanos - crash.ageMillis() * NANOS_PER_MILLI);
+			logBlocked(this.analysis.record(observation, nowNanos), observation);
+		}
+		report.blocks().forEach((part, block) -> {
+			this.peerBlocks.put(part, nowNanos);
+			if (this.analysis.adopt(part, new PartBlock(block.level(), nowNanos - block.ageMillis() * NANOS_PER_MILLI),
+					nowNanos)) {
+				log.atWarn()
+					.addKeyValue("event", "part-block-adopted")
+					.addKeyValue("part", part)
+					.addKeyValue("level", block.level())
+					.log();
+			}
+		});
+	}
+
+	private static long ageMillis(long nanos, long nowNanos) {
+		return Math.max(0, (nowNanos - nanos) / NANOS_PER_MILLI);
 	}
 
-	private record Suspicion(int crashes, long lastCrashNanos) {
+	private void logBlocked(List<String> parts, CrashObservation crash) {
+		for (String part : parts) {
+			log.atWarn()
+				.addKeyValue("event", "part-blocked")
+				.addKeyValue("part", part)
+				.addKeyValue("crash", crash.crashId())
+				.log();
+		}
+	}
 
+	private static void logUnblocked(List<String> parts) {
+		parts.forEach((part) -> log.atWarn().addKeyValue("event", "part-unblocked").addKeyValue("part", part).log());
 	}
 
 }
--- a/gateway/src/main/java/org/skylarkstack/gateway/Exchange.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/Exchange.java
@@ -312,6 +312,22 @@
 		return MIN_RETRY_AFTER_MILLIS + this.components.random().nextLong(MIN_RETRY_AFTER_MILLIS);
 	}
 
+	/**
+	 * Ends the request if it is suspected of crashing servers by now.
+	 * @param nowNanos the current monotonic time in nanoseconds
+	 * @return whether it has ended
+	 */
+	final boolean endIfCrashSuspect(long nowNanos) {
+		RouterException suspected = this.components.suspects().refusal(this.context, nowNanos);
+		if (suspected == null) {
+			return false;
+		}
+		String server = (this.backend != null) ? this.backend.node().id() : "none";
+		refuse((this.verdict == Verdict.NOT_RUN) ? suspected
+				: RouterException.of(ErrorType.BACKEND_FAILED, this.verdict, suspected, server, suspected.type()));
+		return true;
+	}
+
 	private void refuse(RouterException failure) {
 		if (finish(failure.type().httpStatus(), failure.type().code())) {
 			release();
@@ -339,8 +355,9 @@
 		if (timer != null) {
 			timer.cancel(false);
 		}
-		if (this.verdict == Verdict.RAN) {
-			this.components.suspects().clear(this.context.fingerprint());
+		Attempt last = this.attempt;
+		if (this.verdict == Verdict.RAN && last != null) {
+			this.components.suspects().recordCompleted(this.context, last.sentNanos(), System.nanoTime());
 		}
 		TeamPolicy team = this.context.team();
 		if (team != null && this.verdict == Verdict.NOT_RUN) {
--- a/gateway/src/main/java/org/skylarkstack/gateway/ExchangeContext.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/ExchangeContext.java
@@ -1,5 +1,6 @@
 package org.skylarkstack.gateway;
 
+import java.util.List;
 import java.util.zip.CRC32C;
 
 import org.jspecify.annotations.Nullable;
@@ -49,11 +50,20 @@
 	 * the same fingerprint.
 	 * @return the fingerprint
 	 */
-	public long fingerprint() {
+	public String fingerprint() {
 		CRC32C low = new CRC32C();
 		low.update(this.request.body());
 		int high = (this.request.method() + ' ' + this.request.target() + ' ' + this.facts.key()).hashCode();
-		return ((long) high << Integer.SIZE) | low.getValue();
+		return Long.toHexString(((long) high << Integer.SIZE) | low.getValue());
+	}
+
+	/**
+	 * Returns keys of the parts of the prompt that other requests to the service may have
+	 * in common with this one.
+	 * @return the keys, which include the service, in the order of the prompt
+	 */
+	public List<String> sharedPartKeys() {
+		return this.facts.sharedParts().stream().map((part) -> this.service.name() + "/" + part).toList();
 	}
 
 	/**
--- a/gateway/src/main/java/org/skylarkstack/gateway/Gateway.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/Gateway.java
@@ -25,8 +25,6 @@
 
 	private static final Duration DEFAULT_RETRY_AFTER = Duration.ofSeconds(1);
 
-	private static final Duration SUSPECT_RETRY_AFTER = Duration.ofSeconds(60);
-
 	private static final long MILLIS_PER_SECOND = 1_000;
 
 	private final GatewayComponents components;
@@ -87,8 +85,9 @@
 			throw RouterException.retryAfter(ErrorType.NO_ENGINE, DEFAULT_RETRY_AFTER, route.name());
 		}
 		ExchangeContext context = new ExchangeContext(request, facts, route, team, policy, table.version(), now);
-		if (this.components.suspects().refuses(context.fingerprint(), now)) {
-			throw RouterException.retryAfter(ErrorType.CRASH_SUSPECT, SUSPECT_RETRY_AFTER, CrashSuspects.MAX_CRASHES);
+		RouterException suspected = this.components.suspects().refusal(context, now);
+		if (suspected != null) {
+			throw suspected;
 		}
 		if (team != null) {
 			long waitNanos = this.components.limits().tryTake(team, team.cost(facts.statedTokens()), now);
--- a/gateway/src/main/java/org/skylarkstack/gateway/ServiceExchange.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/ServiceExchange.java
@@ -33,6 +33,9 @@
 
 	private void attempt(@Nullable BackendFailure lastFailure) {
 		long now = System.nanoTime();
+		if (endIfCrashSuspect(now)) {
+			return;
+		}
 		List<BackendState> candidates = components().state()
 			.backends()
 			.candidates(context().service().name(), BackendRole.NONE, (node) -> tried().contains(node.id()));
--- a/gateway/src/main/java/org/skylarkstack/gateway/StreamExchange.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/StreamExchange.java
@@ -210,6 +210,9 @@
 
 	private void prefill() {
 		long now = System.nanoTime();
+		if (endIfCrashSuspect(now)) {
+			return;
+		}
 		BackendState target = this.reservations.decodeEngine();
 		BackendState engine = (this.prefillAttempts < MAX_PREFILL_ATTEMPTS && target != null)
 				? choosePrefillEngine(target.node().dataCentre(), now) : null;
@@ -255,6 +258,9 @@
 
 	private void decode(@Nullable BackendFailure lastFailure) {
 		long now = System.nanoTime();
+		if (endIfCrashSuspect(now)) {
+			return;
+		}
 		if (this.prefillResult.isStale(now)) {
 			release();
 		}
@@ -350,6 +356,8 @@
 
 		private long progressNanos;
 
+		private boolean started;
+
 		DecodeAttempt(CallPlan.@Nullable KvSource source, long nowNanos) {
 			super(StreamExchange.this, "decode");
 			this.source = source;
@@ -413,12 +421,21 @@
 			}
 		}
 
+		@Override
+		boolean responseStarted() {
+			return this.started;
+		}
+
 		private void relay(byte[] part) {
 			EventBuffer events = StreamExchange.this.eventBuffer;
 			long before = events.eventCount();
 			response().write(events.append(part));
 			StreamExchange.this.reservations
 				.setGeneratedTokens(events.eventCount() * StreamExchange.this.profile.tokensPerEvent());
+			if (!this.started && events.eventCount() > before) {
+				this.started = true;
+				components().suspects().recordStarted(context(), sentNanos(), System.nanoTime());
+			}
 			if (events.isOversized()) {
 				rejectOversized();
 			}
@@ -445,6 +462,7 @@
 				handleEngineError(head);
 			}
 			else if (StreamExchange.this.eventBuffer.hasPartial()) {
+				checkForCrash();
 				discardPartialAndRetry(new BackendFailure(BackendFailure.Kind.MALFORMED, Verdict.MAY_HAVE_RUN), true);
 			}
 			else {
--- a/gateway/src/main/java/org/skylarkstack/peers/PeerUsage.java
+++ b/gateway/src/main/java/org/skylarkstack/peers/PeerUsage.java
@@ -39,6 +39,9 @@
 	private ObjLongConsumer<String> unitsListener = (team, nowNanos) -> {
 	};
 
+	private ObjLongConsumer<CrashReport> crashListener = (report, nowNanos) -> {
+	};
+
 	/**
 	 * Sets the listener for units that peers report.
 	 * @param listener called with the team and the current monotonic time in nanoseconds
@@ -48,6 +51,15 @@
 		this.unitsListener = listener;
 	}
 
+	/**
+	 * Sets the listener for crashes of backend servers that peers report.
+	 * @param listener called with the part of each report about crashes and the current
+	 * monotonic time in nanoseconds
+	 */
+	public void onCrashesReported(ObjLongConsumer<CrashReport> listener) {
+		this.crashListener = listener;
+	}
+
 	/**
 	 * Sets the registered peers, and discards the reports of all other daemons.
 	 * @param peers the VM names of the other daemons
@@ -95,6 +107,7 @@
 		for (String engine : report.memoryByEngine().keySet()) {
 			this.reportsByEngine.computeIfAbsent(engine, (key) -> new HashMap<>()).put(report.vmId(), received);
 		}
+		this.crashListener.accept(report.crashes(), nowNanos);
 		changedTeams.forEach((team) -> this.unitsListener.accept(team, nowNanos));
 	}
 
@@ -197,20 +210,6 @@
 		return liveDaemons(nowNanos) > this.registeredDaemons / 2;
 	}
 
-	/**
-	 * Returns the number of backend server crashes that peers have detected during a
-	 * request.
-	 * @param fingerprint the hash of method, target, key and body of the request
-	 * @return the sum over the latest reports of all registered peers, live or not
-	 */
-	public int crashesSeenByPeers(long fingerprint) {
-		int crashes = 0;
-		for (ReceivedReport received : this.reports.values()) {
-			crashes += received.report.crashesByFingerprint().getOrDefault(fingerprint, 0);
-		}
-		return crashes;
-	}
-
 	/**
 	 * Returns the number of registered daemons, including this one.
 	 * @return the number, at least 1
--- a/gateway/src/main/java/org/skylarkstack/peers/UsageCodec.java
+++ b/gateway/src/main/java/org/skylarkstack/peers/UsageCodec.java
@@ -4,7 +4,6 @@
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -19,7 +18,7 @@
  */
 final class UsageCodec {
 
-	private static final int FORMAT_VERSION = 1;
+	private static final int FORMAT_VERSION = 2;
 
 	private UsageCodec() {
 	}
@@ -36,11 +35,7 @@
 			for (String engine : report.enginesChangingRole()) {
 				packer.packString(engine);
 			}
-			packer.packMapHeader(report.crashesByFingerprint().size());
-			for (Map.Entry<Long, Integer> entry : report.crashesByFingerprint().entrySet()) {
-				packer.packLong(entry.getKey());
-				packer.packInt(entry.getValue());
-			}
+			packCrashes(packer, report.crashes());
 			return packer.toByteArray();
 		}
 		catch (IOException ex) {
@@ -56,6 +51,27 @@
 		}
 	}
 
+	private static void packCrashes(MessageBufferPacker packer, CrashReport report) throws IOException {
+		packer.packArrayHeader(report.crashes().size());
+		for (ReportedCrash crash : report.crashes()) {
+			packer.packString(crash.crashId());
+			packer.packString(crash.request());
+			packer.packArrayHeader(crash.parts().size());
+			for (String part : crash.parts()) {
+				packer.packString(part);
+			}
+			packer.packBoolean(crash.started());
+			packer.packLong(crash.ageMillis());
+		}
+		packUnits(packer, report.successAges());
+		packer.packMapHeader(report.blocks().size());
+		for (Map.Entry<String, ReportedBlock> entry : report.blocks().entrySet()) {
+			packer.packString(entry.getKey());
+			packer.packInt(entry.getValue().level());
+			packer.packLong(entry.getValue().ageMillis());
+		}
+	}
+
 	private static void packMemory(MessageBufferPacker packer, Map<String, List<RequestMemory>> memoryByEngine)
 			throws IOException {
 		packer.packMapHeader(memoryByEngine.size());
@@ -79,7 +95,8 @@
 		try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
 			while (unpacker.hasNext() && unpacker.unpackInt() == FORMAT_VERSION) {
 				reports.add(new UsageReport(unpacker.unpackString(), unpacker.unpackLong(), unpacker.unpackLong(),
-						unpackUnits(unpacker), unpackMemory(unpacker), unpackSet(unpacker), unpackCrashes(unpacker)));
+						unpackUnits(unpacker), unpackMemory(unpacker), Set.copyOf(unpackStrings(unpacker)),
+						unpackCrashes(unpacker)));
 			}
 		}
 		catch (IOException | MessagePackException ex) {
@@ -99,18 +116,25 @@
 		return values;
 	}
 
-	private static Map<Long, Integer> unpackCrashes(MessageUnpacker unpacker) throws IOException {
-		int size = unpacker.unpackMapHeader();
-		Map<Long, Integer> crashes = new HashMap<>();
+	private static CrashReport unpackCrashes(MessageUnpacker unpacker) throws IOException {
+		int size = unpacker.unpackArrayHeader();
+		List<ReportedCrash> crashes = new ArrayList<>();
 		for (int entry = 0; entry < size; entry++) {
-			crashes.put(unpacker.unpackLong(), unpacker.unpackInt());
+			crashes.add(new ReportedCrash(unpacker.unpackString(), unpacker.unpackString(), unpackStrings(unpacker),
+					unpacker.unpackBoolean(), unpacker.unpackLong()));
+		}
+		Map<String, Long> successAges = unpackUnits(unpacker);
+		int blockCount = unpacker.unpackMapHeader();
+		Map<String, ReportedBlock> blocks = new HashMap<>();
+		for (int entry = 0; entry < blockCount; entry++) {
+			blocks.put(unpacker.unpackString(), new ReportedBlock(unpacker.unpackInt(), unpacker.unpackLong()));
 		}
-		return crashes;
+		return new CrashReport(crashes, successAges, blocks);
 	}
 
-	private static Set<String> unpackSet(MessageUnpacker unpacker) throws IOException {
+	private static List<String> unpackStrings(MessageUnpacker unpacker) throws IOException {
 		int size = unpacker.unpackArrayHeader();
-		Set<String> values = new HashSet<>();
+		List<String> values = new ArrayList<>();
 		for (int entry = 0; entry < size; entry++) {
 			values.add(unpacker.unpackString());
 		}
--- a/gateway/src/main/java/org/skylarkstack/peers/UsageReport.java
+++ b/gateway/src/main/java/org/skylarkstack/peers/UsageReport.java
@@ -14,12 +14,10 @@
  * @param unitsByTeam the units that each team has taken at the sender since its start
  * @param memoryByEngine the memory of each of the sender's requests, by engine
  * @param enginesChangingRole the engines that the sender has ordered to change their role
- * @param crashesByFingerprint the number of backend server crashes that the sender has
- * detected, by request fingerprint
+ * @param crashes what the sender knows about crashes of backend servers
  */
 public record UsageReport(String vmId, long incarnation, long sequenceNumber, Map<String, Long> unitsByTeam,
-		Map<String, List<RequestMemory>> memoryByEngine, Set<String> enginesChangingRole,
-		Map<Long, Integer> crashesByFingerprint) {
+		Map<String, List<RequestMemory>> memoryByEngine, Set<String> enginesChangingRole, CrashReport crashes) {
 
 	/**
 	 * Creates a report with unmodifiable copies of the collections.
@@ -28,7 +26,6 @@
 		unitsByTeam = Map.copyOf(unitsByTeam);
 		memoryByEngine = Map.copyOf(memoryByEngine);
 		enginesChangingRole = Set.copyOf(enginesChangingRole);
-		crashesByFingerprint = Map.copyOf(crashesByFingerprint);
 	}
 
 }
--- a/kernel/src/main/java/org/skylarkstack/kernel/ErrorType.java
+++ b/kernel/src/main/java/org/skylarkstack/kernel/ErrorType.java
@@ -100,6 +100,12 @@
 	/** The request headers exceed the size limit or are malformed. */
 	BAD_HEADERS(1309, 431, "invalid_request_error", Verdict.NOT_RUN, "the request headers are refused: %s"),
 
+	/**
+	 * The request is refused because backend servers crashed on a part of its prompt.
+	 */
+	PROMPT_PART_BLOCKED(1310, 503, "overloaded_error", Verdict.NOT_RUN,
+			"the request is refused because backend servers crashed on a part of its prompt"),
+
 	/** The ticket conflicts with another ticket. */
 	TICKET_CONFLICT(2001, 409, "conflict_error", Verdict.NOT_RUN, "ticket %s conflicts: %s"),
 
