Determine the causes of crashes anew with every observation

Causes are now a function of the observations, so daemons agree once they have the same ones; only a cause that has stood for 2 s becomes a block for others to adopt, unless their own observations name another cause.

--- a/gateway/src/main/java/org/skylarkstack/gateway/CrashSuspects.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/CrashSuspects.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import org.jspecify.annotations.Nullable;
 import org.skylarkstack.crash.CrashAnalysis;
@@ -49,6 +50,8 @@
 	// Parts that peers have blocked, and when they last reported it.
 	private final Map<String, Long> peerBlocks = new HashMap<>();
 
+	private Set<String> refusedParts = Set.of();
+
 	/**
 	 * Creates an instance without suspects.
 	 * @param peers the reports of the other daemons, which include the crashes that they
@@ -74,7 +77,8 @@
 		CrashObservation crash = new CrashObservation(crashId, context.fingerprint(), context.sharedPartKeys(), started,
 				crashedNanos);
 		this.ownCrashes.add(crash);
-		logBlocked(this.analysis.record(crash, nowNanos), crash);
+		this.analysis.record(crash, nowNanos);
+		logChanges(nowNanos);
 	}
 
 	/**
@@ -85,7 +89,7 @@
 	 * @param nowNanos the current monotonic time in nanoseconds
 	 */
 	void recordStarted(ExchangeContext context, long sentNanos, long nowNanos) {
-		logUnblocked(this.analysis.recordSuccess(context.sharedPartKeys(), sentNanos, nowNanos));
+		this.analysis.recordSuccess(context.sharedPartKeys(), sentNanos, nowNanos);
 	}
 
 	/**
@@ -136,7 +140,7 @@
 		this.analysis.relevantSuccesses(this.peerBlocks.keySet())
 			.forEach((key, sentNanos) -> successAges.put(key, ageMillis(sentNanos, nowNanos)));
 		Map<String, ReportedBlock> blocks = new HashMap<>();
-		this.analysis.blocks()
+		this.analysis.blocks(nowNanos)
 			.forEach((part, block) -> blocks.put(part,
 					new ReportedBlock(block.level(), ageMillis(block.sinceNanos(), nowNanos))));
 		return new CrashReport(reportedCrashes(nowNanos), successAges, blocks);
@@ -159,42 +163,37 @@
 
 	private void recordReport(CrashReport report, long nowNanos) {
 		report.successAges()
-			.forEach((key, age) -> logUnblocked(this.analysis.recordSuccess(List.of(key),
-					nowNanos - age * NANOS_PER_MILLI - MAX_RELAY_NANOS, nowNanos)));
+			.forEach((key, age) -> this.analysis.recordSuccess(List.of(key),
+					nowNanos - age * NANOS_PER_MILLI - MAX_RELAY_NANOS, nowNanos));
 		for (ReportedCrash crash : report.crashes()) {
-			CrashObservation observation = new CrashObservation(crash.crashId(), crash.request(), crash.parts(),
-					crash.started(), nowNanos - crash.ageMillis() * NANOS_PER_MILLI);
-			logBlocked(this.analysis.record(observation, nowNanos), observation);
+			this.analysis.record(new CrashObservation(crash.crashId(), crash.request(), crash.parts(), crash.started(),
+					nowNanos - crash.ageMillis() * NANOS_PER_MILLI), nowNanos);
 		}
 		report.blocks().forEach((part, block) -> {
 			this.peerBlocks.put(part, nowNanos);
-			if (this.analysis.adopt(part, new PartBlock(block.level(), nowNanos - block.ageMillis() * NANOS_PER_MILLI),
-					nowNanos)) {
-				log.atWarn()
-					.addKeyValue("event", "part-block-adopted")
-					.addKeyValue("part", part)
-					.addKeyValue("level", block.level())
-					.log();
-			}
+			this.analysis.adopt(part, new PartBlock(block.level(), nowNanos - block.ageMillis() * NANOS_PER_MILLI),
+					nowNanos);
 		});
+		logChanges(nowNanos);
 	}
 
 	private static long ageMillis(long nanos, long nowNanos) {
 		return Math.max(0, (nowNanos - nanos) / NANOS_PER_MILLI);
 	}
 
-	private void logBlocked(List<String> parts, CrashObservation crash) {
-		for (String part : parts) {
+	private void logChanges(long nowNanos) {
+		if (this.analysis.isEmpty() && this.refusedParts.isEmpty()) {
+			return;
+		}
+		Set<String> refused = this.analysis.refusedParts(nowNanos);
+		if (!refused.equals(this.refusedParts)) {
 			log.atWarn()
-				.addKeyValue("event", "part-blocked")
-				.addKeyValue("part", part)
-				.addKeyValue("crash", crash.crashId())
+				.addKeyValue("event", "refused-parts-changed")
+				.addKeyValue("parts", refused)
+				.addKeyValue("former", this.refusedParts)
 				.log();
+			this.refusedParts = refused;
 		}
 	}
 
-	private static void logUnblocked(List<String> parts) {
-		parts.forEach((part) -> log.atWarn().addKeyValue("event", "part-unblocked").addKeyValue("part", part).log());
-	}
-
 }
--- a/kernel/src/main/java/org/skylarkstack/crash/CrashAnalysis.java
+++ b/kernel/src/main/java/org/skylarkstack/crash/CrashAnalysis.java
@@ -20,18 +20,24 @@
  * A server that crashes was usually running several requests, most of them harmless. A
  * request whose response had started is not the cause of a crash at the start of a
  * response. A part is the suspected cause if it was in requests with different contents
- * at several crashes and no request with it has started a response in the meantime. Of
- * several such parts, the one that explains the most crashes is blocked; among equals,
- * one that has never been in a response that started, and then the one that comes later
- * in the prompts, because blocking it refuses the fewest requests. The crashes that a
- * blocked part explains no longer count against other requests and parts, so that a
- * harmless request that ran beside a crashing one is served.
+ * at several crashes and no request with it has started a response since. The causes are
+ * chosen one after the other until they explain all crashes that they can explain: first
+ * parts that have never been in a started response, then by the number of crashes, and
+ * then the part that comes later in the prompts, because blocking it refuses the fewest
+ * requests. Crashes that a cause explains do not count against other requests and parts,
+ * so that a harmless request that ran beside a crashing one is served.
+ *
+ * <p>
+ * The causes are determined anew with every observation. Daemons that have received the
+ * same observations therefore agree, and a part that seemed to be the cause while an
+ * observation was still on its way is no longer blocked. A cause that stays one for some
+ * time becomes a block, which other daemons adopt and which outlives the observations.
  *
  * <p>
  * A response that has started clears every part of its prompt. What counts is when its
  * request was sent: a process that was suspended may read an old response after a crash.
- * Crashes that happen together count as one for a part, because the failure of a rack
- * hits unrelated requests with a common part at the same moment.
+ * Crashes that happen together do not suffice, because the failure of a rack hits
+ * unrelated requests with a common part at the same moment.
  *
  * <p>
  * A block ends after a time that doubles with each level and differs between daemons, so
@@ -48,13 +54,19 @@
 	// A crash in the middle of a response is less likely to be caused by its request.
 	private static final int MAX_CRASHES_OF_ANY_KIND = 3;
 
+	private static final int MIN_REQUESTS = 2;
+
 	private static final int MIN_CRASHES_OF_NEW_PART = 2;
 
+	private static final long MIN_SPAN_OF_NEW_PART_NANOS = 250_000_000L;
+
 	private static final int MIN_CRASHES_OF_PROVEN_PART = 3;
 
-	private static final int MIN_REQUESTS = 2;
+	// Within this time, successes at other daemons become known.
+	private static final long MIN_SPAN_OF_PROVEN_PART_NANOS = 2_000_000_000L;
 
-	private static final long SIMULTANEOUS_NANOS = 250_000_000L;
+	// Time for which a part must be a cause before other daemons adopt its block.
+	private static final long SETTLING_NANOS = 2_000_000_000L;
 
 	private static final long BLOCK_NANOS = 60_000_000_000L;
 
@@ -78,6 +90,13 @@
 
 	private final List<CrashObservation> observations = new ArrayList<>();
 
+	// Requests and parts of the observations.
+	private final Set<String> suspects = new HashSet<>();
+
+	private final Set<ObservationKey> observationKeys = new HashSet<>();
+
+	private final Map<String, Cause> causes = new HashMap<>();
+
 	private final Map<String, PartBlock> blocks = new HashMap<>();
 
 	// When the latest request that started a response was sent, by request or part.
@@ -111,21 +130,22 @@
 	 * Records an observation. Repeats of an observation are ignored.
 	 * @param observation the observation of this daemon or of a peer
 	 * @param nowNanos the current monotonic time in nanoseconds
-	 * @return the parts that are blocked because of it
 	 */
-	public List<String> record(CrashObservation observation, long nowNanos) {
+	public void record(CrashObservation observation, long nowNanos) {
 		expire(nowNanos);
-		boolean known = this.observations.stream()
-			.anyMatch((other) -> other.crashId().equals(observation.crashId())
-					&& other.request().equals(observation.request()));
-		if (known || nowNanos - observation.nanos() > this.retentionNanos) {
-			return List.of();
+		if (nowNanos - observation.nanos() > this.retentionNanos
+				|| !this.observationKeys.add(ObservationKey.of(observation))) {
+			return;
 		}
-		if (this.observations.size() >= MAX_OBSERVATIONS) {
+		this.observations.add(observation);
+		this.suspects.add(observation.request());
+		this.suspects.addAll(observation.parts());
+		if (this.observations.size() > MAX_OBSERVATIONS) {
 			this.observations.remove(0);
+			indexObservations();
 		}
-		this.observations.add(observation);
-		return blockParts(nowNanos);
+		renewBlocks(observation);
+		determineCauses(nowNanos);
 	}
 
 	/**
@@ -134,41 +154,44 @@
 	 * @param sentNanos when the request was sent to its server, on the monotonic clock in
 	 * nanoseconds
 	 * @param nowNanos the current monotonic time in nanoseconds
-	 * @return the parts that are no longer blocked because of it
 	 */
-	public List<String> recordSuccess(Collection<String> keys, long sentNanos, long nowNanos) {
-		List<String> cleared = new ArrayList<>();
+	public void recordSuccess(Collection<String> keys, long sentNanos, long nowNanos) {
+		boolean changed = false;
 		for (String key : keys) {
-			this.successes.merge(key, sentNanos, (known, sent) -> (sent - known > 0) ? sent : known);
+			Long known = this.successes.get(key);
+			if (known != null && sentNanos - known <= 0) {
+				continue;
+			}
+			this.successes.put(key, sentNanos);
 			PartBlock block = this.blocks.get(key);
 			if (block != null && sentNanos - block.sinceNanos() > 0) {
 				this.blocks.remove(key);
 				this.unblocked.put(key, nowNanos);
-				cleared.add(key);
+				changed = true;
 			}
+			changed |= isSuspect(key);
 		}
-		if (!cleared.isEmpty()) {
-			explainCrashes();
+		if (changed) {
+			determineCauses(nowNanos);
 		}
-		return cleared;
 	}
 
 	/**
-	 * Records a block that a peer has decided on. A block that this daemon knows, or that
-	 * a later success has removed, is ignored.
+	 * Records a block that a peer has decided on. It is ignored if this daemon knows it,
+	 * if a success is known that is later, or if the crashes that this daemon knows have
+	 * another cause.
 	 * @param part the part
 	 * @param block the peer's block
 	 * @param nowNanos the current monotonic time in nanoseconds
-	 * @return whether the part is blocked because of it
 	 */
-	public boolean adopt(String part, PartBlock block, long nowNanos) {
+	public void adopt(String part, PartBlock block, long nowNanos) {
 		PartBlock known = this.blocks.get(part);
-		if ((known != null && known.level() >= block.level()) || succeededSince(part, block.sinceNanos())
-				|| isForgotten(block, nowNanos) || isCoveredByBlock(part)) {
-			return false;
+		boolean outdated = (known != null && known.level() >= block.level()) || succeededSince(part, block.sinceNanos())
+				|| isForgotten(block, nowNanos);
+		if (!outdated && (this.causes.containsKey(part) || !isSuspect(part))) {
+			block(part, block);
+			determineCauses(nowNanos);
 		}
-		block(part, block);
-		return true;
 	}
 
 	/**
@@ -183,7 +206,9 @@
 		long nanos = 0;
 		for (String part : parts) {
 			PartBlock block = this.blocks.get(part);
+			Cause cause = this.causes.get(part);
 			nanos = Math.max(nanos, (block != null) ? endNanos(block) - nowNanos : 0);
+			nanos = Math.max(nanos, (cause != null) ? endNanos(cause.block) - nowNanos : 0);
 		}
 		return nanos;
 	}
@@ -219,19 +244,39 @@
 	}
 
 	/**
-	 * Returns whether a request was running at a crash that still counts.
-	 * @param request identifies requests with the same content
+	 * Returns whether a request or a part was in a crash that still counts.
+	 * @param key identifies requests with the same content, or the part
 	 * @return whether it is a suspect
 	 */
-	public boolean isSuspect(String request) {
-		return this.observations.stream().anyMatch((observation) -> observation.request().equals(request));
+	public boolean isSuspect(String key) {
+		return this.suspects.contains(key);
+	}
+
+	/**
+	 * Returns the parts that are refused.
+	 * @param nowNanos the current monotonic time in nanoseconds
+	 * @return the parts
+	 */
+	public Set<String> refusedParts(long nowNanos) {
+		Set<String> parts = new HashSet<>(this.causes.keySet());
+		parts.addAll(this.blocks.keySet());
+		parts.removeIf((part) -> partRefusalNanos(List.of(part), nowNanos) == 0);
+		return parts;
 	}
 
 	/**
-	 * Returns the blocks, including those that have ended and may be renewed.
+	 * Returns the blocks for other daemons to adopt, including those that have ended and
+	 * may be renewed.
+	 * @param nowNanos the current monotonic time in nanoseconds
 	 * @return the blocks by part
 	 */
-	public Map<String, PartBlock> blocks() {
+	public Map<String, PartBlock> blocks(long nowNanos) {
+		expire(nowNanos);
+		for (Map.Entry<String, Cause> cause : this.causes.entrySet()) {
+			if (nowNanos - cause.getValue().sinceNanos > SETTLING_NANOS) {
+				this.blocks.putIfAbsent(cause.getKey(), cause.getValue().block);
+			}
+		}
 		return Map.copyOf(this.blocks);
 	}
 
@@ -241,13 +286,10 @@
 	 * @return the time at which the latest successful request was sent, by key
 	 */
 	public Map<String, Long> relevantSuccesses(Collection<String> peerBlocks) {
-		Set<String> keys = new HashSet<>(peerBlocks);
+		Set<String> keys = new HashSet<>(this.suspects);
+		keys.addAll(peerBlocks);
 		keys.addAll(this.blocks.keySet());
 		keys.addAll(this.unblocked.keySet());
-		for (CrashObservation observation : this.observations) {
-			keys.add(observation.request());
-			keys.addAll(observation.parts());
-		}
 		Map<String, Long> relevant = new HashMap<>();
 		for (String key : keys) {
 			Long sent = this.successes.get(key);
@@ -258,72 +300,47 @@
 		return relevant;
 	}
 
-	// Repeats until no further part explains a crash that is not explained yet.
-	private List<String> blockParts(long nowNanos) {
-		List<String> blocked = renewBlocks(nowNanos);
-		for (Suspect suspect = strongestSuspect(); suspect != null; suspect = strongestSuspect()) {
-			PartBlock former = this.blocks.get(suspect.part);
-			block(suspect.part, new PartBlock((former != null) ? former.level() + 1 : 1, suspect.latestNanos));
-			blocked.add(suspect.part);
-		}
-		// A part may have been blocked before the observation arrived that shows the
-		// actual cause.
-		if (this.blocks.keySet().removeIf(this::isCoveredByBlock)) {
-			explainCrashes();
-		}
-		return blocked;
-	}
-
-	// Whether another blocked part was in all requests before whose responses the part
-	// was
-	// at a crash, and at further crashes.
-	private boolean isCoveredByBlock(String part) {
-		Set<String> crashes = crashesOf(part);
-		return !crashes.isEmpty()
-				&& this.blocks.keySet().stream().filter((other) -> !other.equals(part)).anyMatch((other) -> {
-					Set<String> others = crashesOf(other);
-					return others.size() > crashes.size() && others.containsAll(crashes);
-				});
-	}
-
-	private Set<String> crashesOf(String part) {
-		Set<String> crashes = new HashSet<>();
-		for (CrashObservation observation : this.observations) {
-			if (observation.parts().contains(part)) {
-				crashes.add(observation.crashId());
+	private void renewBlocks(CrashObservation observation) {
+		for (String part : observation.parts()) {
+			PartBlock block = this.blocks.get(part);
+			if (block != null && observation.nanos() - endNanos(block) > 0) {
+				this.blocks.put(part, new PartBlock(block.level() + 1, observation.nanos()));
 			}
 		}
-		return crashes;
 	}
 
-	private List<String> renewBlocks(long nowNanos) {
-		List<String> renewed = new ArrayList<>();
-		for (CrashObservation observation : this.observations) {
-			for (String part : observation.parts()) {
-				PartBlock block = this.blocks.get(part);
-				if (block != null && observation.nanos() - endNanos(block) > 0) {
-					this.blocks.put(part, new PartBlock(block.level() + 1, observation.nanos()));
-					renewed.add(part);
-				}
-			}
+	private void determineCauses(long nowNanos) {
+		Map<String, Cause> former = Map.copyOf(this.causes);
+		this.causes.clear();
+		explainCrashes();
+		for (Suspect suspect = strongestSuspect(); suspect != null; suspect = strongestSuspect()) {
+			Cause known = former.get(suspect.part);
+			this.causes.put(suspect.part,
+					new Cause((known != null) ? known.sinceNanos : nowNanos, new PartBlock(1, suspect.latestNanos)));
+			explainCrashes();
 		}
-		return renewed;
 	}
 
 	private @Nullable Suspect strongestSuspect() {
 		Map<String, Suspect> suspects = new HashMap<>();
 		for (CrashObservation observation : this.observations) {
+			boolean explained = this.explainedCrashes.contains(observation.crashId());
 			for (int index = 0; index < observation.parts().size(); index++) {
 				String part = observation.parts().get(index);
-				if (!this.blocks.containsKey(part) && !succeededSince(part, observation.nanos())) {
-					suspects.computeIfAbsent(part, (key) -> new Suspect(key, this.successes.containsKey(key)))
-						.add(observation, index, this.explainedCrashes.contains(observation.crashId()));
+				if (!isCause(part) && !succeededSince(part, observation.nanos())) {
+					boolean proven = this.successes.containsKey(part);
+					suspects.computeIfAbsent(part, (key) -> new Suspect(key, proven))
+						.add(observation, index, explained);
 				}
 			}
 		}
 		return suspects.values().stream().filter(Suspect::isCause).max(Suspect.BY_STRENGTH).orElse(null);
 	}
 
+	private boolean isCause(String part) {
+		return this.blocks.containsKey(part) || this.causes.containsKey(part);
+	}
+
 	private void block(String part, PartBlock block) {
 		if (this.blocks.size() >= MAX_BLOCKS && !this.blocks.containsKey(part)) {
 			this.blocks.entrySet()
@@ -333,13 +350,12 @@
 		}
 		this.blocks.put(part, block);
 		this.unblocked.remove(part);
-		explainCrashes();
 	}
 
 	private void explainCrashes() {
 		Set<String> explained = new HashSet<>();
 		for (CrashObservation observation : this.observations) {
-			if (observation.parts().stream().anyMatch(this.blocks::containsKey)) {
+			if (observation.parts().stream().anyMatch(this::isCause)) {
 				explained.add(observation.crashId());
 			}
 		}
@@ -361,26 +377,56 @@
 	}
 
 	private void expire(long nowNanos) {
-		if (this.observations.isEmpty() && this.blocks.isEmpty() && this.unblocked.isEmpty()) {
+		if (isEmpty() && this.unblocked.isEmpty()) {
 			return;
 		}
 		boolean changed = this.observations
 			.removeIf((observation) -> nowNanos - observation.nanos() > this.retentionNanos);
+		if (changed) {
+			indexObservations();
+		}
 		changed |= this.blocks.values().removeIf((block) -> isForgotten(block, nowNanos));
 		this.unblocked.values().removeIf((since) -> nowNanos - since > this.retentionNanos);
 		if (changed) {
-			explainCrashes();
+			determineCauses(nowNanos);
 		}
 	}
 
+	private void indexObservations() {
+		this.suspects.clear();
+		this.observationKeys.clear();
+		for (CrashObservation observation : this.observations) {
+			this.observationKeys.add(ObservationKey.of(observation));
+			this.suspects.add(observation.request());
+			this.suspects.addAll(observation.parts());
+		}
+	}
+
+	private record ObservationKey(String crashId, String request) {
+
+		static ObservationKey of(CrashObservation observation) {
+			return new ObservationKey(observation.crashId(), observation.request());
+		}
+
+	}
+
+	/**
+	 * Part that the observations show to be the cause of crashes.
+	 *
+	 * @param sinceNanos the time since which it is, on the monotonic clock in nanoseconds
+	 * @param block the block that follows from it
+	 */
+	private record Cause(long sinceNanos, PartBlock block) {
+
+	}
+
 	/**
 	 * Part that may be the cause of crashes.
 	 */
 	private static final class Suspect {
 
-		static final Comparator<Suspect> BY_STRENGTH = Comparator
-			.comparingInt((Suspect suspect) -> suspect.crashes.size())
-			.thenComparing((suspect) -> !suspect.proven)
+		static final Comparator<Suspect> BY_STRENGTH = Comparator.comparing((Suspect suspect) -> !suspect.proven)
+			.thenComparingInt((suspect) -> suspect.crashes.size())
 			.thenComparingInt((suspect) -> suspect.lastIndex)
 			.thenComparing((suspect) -> suspect.part);
 
@@ -391,9 +437,9 @@
 
 		private final Set<String> crashes = new HashSet<>();
 
-		private final Set<String> requests = new HashSet<>();
+		private final Set<String> unexplainedCrashes = new HashSet<>();
 
-		private boolean inUnexplainedCrash;
+		private final Set<String> requests = new HashSet<>();
 
 		private int lastIndex;
 
@@ -415,13 +461,20 @@
 			this.crashes.add(observation.crashId());
 			this.requests.add(observation.request());
 			this.lastIndex = Math.max(this.lastIndex, index);
-			this.inUnexplainedCrash |= !explained;
+			if (!explained) {
+				this.unexplainedCrashes.add(observation.crashId());
+			}
 		}
 
 		boolean isCause() {
-			return this.inUnexplainedCrash && this.requests.size() >= MIN_REQUESTS
-					&& this.crashes.size() >= (this.proven ? MIN_CRASHES_OF_PROVEN_PART : MIN_CRASHES_OF_NEW_PART)
-					&& this.latestNanos - this.earliestNanos > SIMULTANEOUS_NANOS;
+			long spanNanos = this.latestNanos - this.earliestNanos;
+			if (this.unexplainedCrashes.isEmpty() || this.requests.size() < MIN_REQUESTS) {
+				return false;
+			}
+			return this.proven
+					? this.unexplainedCrashes.size() >= MIN_CRASHES_OF_PROVEN_PART
+							&& spanNanos > MIN_SPAN_OF_PROVEN_PART_NANOS
+					: this.crashes.size() >= MIN_CRASHES_OF_NEW_PART && spanNanos > MIN_SPAN_OF_NEW_PART_NANOS;
 		}
 
 	}
