--- a/runtime/src/main/java/org/skylarkstack/request/CompletionRequest.java
+++ b/runtime/src/main/java/org/skylarkstack/request/CompletionRequest.java
@@ -1,5 +1,8 @@
 package org.skylarkstack.request;
 
+import java.util.ArrayList;
+import java.util.List;
+
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.skylarkstack.kernel.ErrorType;
@@ -34,6 +37,9 @@
 	// The limit of the OpenAI API.
 	private static final int MAX_CHOICES = 128;
 
+	// Long conversations share their history with few other requests.
+	private static final int MAX_SHARED_MESSAGES = 64;
+
 	// Larger than the output of any model; multiplied by the number of choices it still
 	// fits into an int.
 	private static final int MAX_OUTPUT_TOKENS = 1_000_000;
@@ -119,6 +125,21 @@
 		return engineBody;
 	}
 
+	/**
+	 * Returns keys of the messages that other requests may have in common with this one:
+	 * all but the last, which is the question itself.
+	 * @return hashes of the model and the message, in the order of the messages; empty if
+	 * the prompt has no messages
+	 */
+	public List<String> sharedMessages() {
+		JsonNode messages = this.body.path("messages");
+		List<String> keys = new ArrayList<>();
+		for (int index = Math.max(0, messages.size() - 1 - MAX_SHARED_MESSAGES); index < messages.size() - 1; index++) {
+			keys.add(Hashes.sha256(this.model + '\n' + messages.get(index)));
+		}
+		return keys;
+	}
+
 	/**
 	 * Returns the fingerprint by which re-sends of the request are recognized.
 	 * @param teamId the id of the team
--- a/runtime/src/main/java/org/skylarkstack/request/CompletionRun.java
+++ b/runtime/src/main/java/org/skylarkstack/request/CompletionRun.java
@@ -1,5 +1,6 @@
 package org.skylarkstack.request;
 
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -55,6 +56,8 @@
 
 	private final String fingerprint;
 
+	private final List<String> sharedMessages;
+
 	private final TokenCursor cursor = new TokenCursor();
 
 	private final Set<String> failedEngines = new HashSet<>();
@@ -71,6 +74,9 @@
 	// a resume would skip it.
 	private boolean sinkFailed;
 
+	// Whether the engine of the current attempt has sent an event.
+	private boolean attemptStarted;
+
 	private int attempts;
 
 	private long prefilledTokens;
@@ -84,6 +90,7 @@
 		this.sink = sink;
 		this.requestId = components.ids().next();
 		this.fingerprint = request.fingerprint(team.id());
+		this.sharedMessages = request.sharedMessages();
 	}
 
 	long usedTokens() {
@@ -135,6 +142,7 @@
 	private void attempt() {
 		this.cancellation.check(this.verdict);
 		this.failedEngine = "";
+		this.attemptStarted = false;
 		this.attempts++;
 		String attemptId = RequestIds.attempt(this.requestId, this.attempts);
 		boolean isolated = checkSuspect(attemptId);
@@ -153,6 +161,11 @@
 	// Returns true if the request is a crash suspect that may run once more, and false if
 	// it is not a suspect. Throws if it may not run again.
 	private boolean checkSuspect(String attemptId) {
+		long refusalNanos = this.components.suspects()
+			.messageRefusalNanos(this.sharedMessages, this.components.time().nanos());
+		if (refusalNanos > 0) {
+			throw RouterException.retryAfter(ErrorType.PROMPT_PART_BLOCKED, Duration.ofNanos(refusalNanos));
+		}
 		int crashes = this.components.suspects().crashCount(this.fingerprint, this.components.time().nanos());
 		if (crashes == 0) {
 			return false;
@@ -255,10 +268,11 @@
 		EngineNode engine = engine(engineId);
 		boolean sent = true;
 		boolean completed = false;
+		long sentNanos = this.components.time().nanos();
 		this.cursor.startAttempt();
 		try (DecodeStream stream = this.components.engines()
 			.decode(engine, call, held.result(), this.cursor.delivered())) {
-			relay(engineId, stream);
+			relay(engineId, stream, sentNanos);
 			completed = true;
 		}
 		catch (RouterException ex) {
@@ -276,11 +290,15 @@
 		}
 	}
 
-	private void relay(String engineId, DecodeStream stream) {
+	private void relay(String engineId, DecodeStream stream, long sentNanos) {
 		for (DecodeEvent event = stream.next(); event != null; event = stream.next()) {
 			// The first event shows that the decode engine has imported the prefill
 			// result.
 			this.prefill = null;
+			if (!this.attemptStarted) {
+				this.attemptStarted = true;
+				this.components.crashReporter().recordStarted(this.sharedMessages, sentNanos);
+			}
 			this.cancellation.check(Verdict.MAY_HAVE_RUN);
 			switch (this.cursor.accept(event)) {
 				case DELIVER -> deliver(event);
@@ -330,8 +348,8 @@
 		this.components.quarantine().add(this.failedEngine, this.components.time().nanos());
 		this.components.suspectRunGrants().recordCrash(this.fingerprint);
 		this.components.crashReporter()
-			.report(this.fingerprint, RequestIds.attempt(this.requestId, this.attempts), this.failedEngine,
-					this.cancellation);
+			.report(new CrashReport(this.fingerprint, RequestIds.attempt(this.requestId, this.attempts),
+					this.failedEngine, false, this.sharedMessages, this.attemptStarted), this.cancellation);
 	}
 
 	// A broken connection alone does not prove a crash: a server may close an idle
--- a/runtime/src/main/java/org/skylarkstack/request/CrashReporter.java
+++ b/runtime/src/main/java/org/skylarkstack/request/CrashReporter.java
@@ -1,6 +1,7 @@
 package org.skylarkstack.request;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -27,6 +28,10 @@
 
 	private static final long ACK_WAIT_MILLIS = 200;
 
+	// A response that a peer reports counts as that much older, so that it does not clear
+	// a later crash.
+	private static final long MAX_DELIVERY_NANOS = 1_000_000_000L;
+
 	private final CrashSuspects suspects;
 
 	private final OpenRequests openRequests;
@@ -61,13 +66,12 @@
 	/**
 	 * Records a crash, sends it to all peers, and waits up to 200 ms until they have
 	 * confirmed it.
-	 * @param fingerprint the hash of team, path and body
-	 * @param crashId the id of the attempt whose engine crashed
-	 * @param engineId the engine that crashed
+	 * @param report the report of the crash
 	 * @param reporting the cancellation of the reporting request, which is not ended
 	 */
-	public void report(String fingerprint, String crashId, String engineId, Cancellation reporting) {
-		CompletableFuture<Void> confirmed = broadcast(fingerprint, crashId, engineId, reporting);
+	public void report(CrashReport report, Cancellation reporting) {
+		String crashId = report.crashId();
+		CompletableFuture<Void> confirmed = broadcast(report, reporting);
 		try {
 			confirmed.get(ACK_WAIT_MILLIS, TimeUnit.MILLISECONDS);
 		}
@@ -87,18 +91,21 @@
 
 	// Records a crash and sends it to all peers. The returned future completes when every
 	// peer that could be sent to has confirmed it.
-	CompletableFuture<Void> broadcast(String fingerprint, String crashId, String engineId, Cancellation reporting) {
-		this.suspects.record(fingerprint, crashId, this.time.nanos());
-		this.openRequests.endSuspects(fingerprint, reporting);
+	CompletableFuture<Void> broadcast(CrashReport report, Cancellation reporting) {
+		String crashId = report.crashId();
+		this.suspects.record(report.fingerprint(), crashId, this.time.nanos());
+		this.suspects.recordMessages(report, this.time.nanos());
+		this.openRequests.endSuspects(report.fingerprint(), reporting);
 		LOG.atWarn()
 			.addKeyValue("event", "engine_lost")
-			.addKeyValue("engine", engineId)
+			.addKeyValue("engine", report.engineId())
 			.addKeyValue("attempt", crashId)
+			.addKeyValue("started", report.started())
+			.addKeyValue("messages", report.messages())
 			.log();
 		Set<String> peers = peers();
 		PendingReport pending = new PendingReport(new HashSet<>(peers));
 		this.pendingReports.put(crashId, pending);
-		CrashReport report = new CrashReport(fingerprint, crashId, engineId, false);
 		for (String peer : peers) {
 			if (!this.transport.send(peer, report)) {
 				pending.confirm(peer);
@@ -114,7 +121,20 @@
 	 */
 	public void clear(String fingerprint) {
 		this.suspects.clear(fingerprint);
-		peers().forEach((peer) -> this.transport.send(peer, new CrashReport(fingerprint, "", "", true)));
+		peers()
+			.forEach((peer) -> this.transport.send(peer, new CrashReport(fingerprint, "", "", true, List.of(), false)));
+	}
+
+	/**
+	 * Records that an engine has started a response to a request with certain messages,
+	 * and reports it to the peers if any of them was a suspect.
+	 * @param messages the keys of the messages
+	 * @param sentNanos when the request was sent, as monotonic time in nanoseconds
+	 */
+	public void recordStarted(List<String> messages, long sentNanos) {
+		if (this.suspects.recordStarted(messages, sentNanos, this.time.nanos())) {
+			peers().forEach((peer) -> this.transport.send(peer, new CrashReport("", "", "", true, messages, true)));
+		}
 	}
 
 	private Set<String> peers() {
@@ -127,9 +147,12 @@
 	private void onReport(String from, CrashReport report) {
 		if (report.cleared()) {
 			this.suspects.clear(report.fingerprint());
+			long now = this.time.nanos();
+			this.suspects.recordStarted(report.messages(), now - MAX_DELIVERY_NANOS, now);
 			return;
 		}
 		this.suspects.record(report.fingerprint(), report.crashId(), this.time.nanos());
+		this.suspects.recordMessages(report, this.time.nanos());
 		this.openRequests.endSuspects(report.fingerprint(), new Cancellation());
 		this.transport.send(from, new CrashReportAck(report.crashId()));
 	}
--- a/runtime/src/test/java/org/skylarkstack/request/CrashReporterTests.java
+++ b/runtime/src/test/java/org/skylarkstack/request/CrashReporterTests.java
@@ -47,7 +47,11 @@
 	}
 
 	private CompletableFuture<Void> broadcast(int vm, String crashId) {
-		return this.vms.get(vm).crashReporter.broadcast(this.fingerprint, crashId, "d1", new Cancellation());
+		return this.vms.get(vm).crashReporter.broadcast(report(crashId), new Cancellation());
+	}
+
+	private CrashReport report(String crashId) {
+		return new CrashReport(this.fingerprint, crashId, "d1", false, List.of(), false);
 	}
 
 	@Test
@@ -98,7 +102,7 @@
 		this.network.advance(10_000_000);
 		assertThat(confirmed.isDone()).isFalse();
 		// Returns although vm-1 never confirms.
-		this.vms.get(0).crashReporter.report(this.fingerprint, "crash-2", "d1", new Cancellation());
+		this.vms.get(0).crashReporter.report(report("crash-2"), new Cancellation());
 		assertThat(this.vms.get(0).suspects.crashCount(this.fingerprint, this.vms.get(0).time.nanos())).isEqualTo(2);
 	}
 
--- a/runtime/src/test/java/org/skylarkstack/request/RequestFixture.java
+++ b/runtime/src/test/java/org/skylarkstack/request/RequestFixture.java
@@ -142,7 +142,10 @@
 	}
 
 	void run(boolean idempotent, Cancellation cancellation, ResponseSink sink) {
-		CompletionRequest request = request(idempotent);
+		run(request(idempotent), cancellation, sink);
+	}
+
+	void run(CompletionRequest request, Cancellation cancellation, ResponseSink sink) {
 		OpenRequest open = new OpenRequest(KEY_HASH, TEAM.id(), request.fingerprint(TEAM.id()), cancellation);
 		try (OpenRequests.Entry entry = this.openRequests.add(open)) {
 			this.pipeline.run(TEAM, request, cancellation, sink);
