Treat a stream that ends with its connection before the first event as broken off

Callers got a 200 with an empty stream that looked complete when an engine sent a head without a length or chunks and closed the connection before its first event, as in a crash at the start of a response.

Cause: a body that ends with the connection is complete at any close without a reset; only a partial event was checked. Such a stream now moves to another engine, and the engine is checked for a crash, also if it closed in an event.

A refusal repeated on a kept connection cannot occur towards the platform's engines, because each call has a connection of its own.

--- a/gateway/src/main/java/org/skylarkstack/gateway/StreamExchange.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/StreamExchange.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.util.concurrent.ScheduledFuture;
 import org.jspecify.annotations.Nullable;
@@ -429,10 +430,11 @@
 		private void relay(byte[] part) {
 			EventBuffer events = StreamExchange.this.eventBuffer;
 			long before = events.eventCount();
-			response().write(events.append(part));
+			byte[] completeEvents = events.append(part);
+			response().write(completeEvents);
 			StreamExchange.this.reservations
 				.setGeneratedTokens(events.eventCount() * StreamExchange.this.profile.tokensPerEvent());
-			if (!this.started && events.eventCount() > before) {
+			if (!this.started && completeEvents.length > 0) {
 				this.started = true;
 				components().suspects().recordStarted(context(), sentNanos(), System.nanoTime());
 			}
@@ -461,7 +463,7 @@
 			else if (!head.success()) {
 				handleEngineError(head);
 			}
-			else if (StreamExchange.this.eventBuffer.hasPartial()) {
+			else if (StreamExchange.this.eventBuffer.hasPartial() || endedBeforeFirstEvent()) {
 				checkForCrash();
 				discardPartialAndRetry(new BackendFailure(BackendFailure.Kind.MALFORMED, Verdict.MAY_HAVE_RUN), true);
 			}
@@ -478,6 +480,12 @@
 			}
 		}
 
+		// A body that ends with the connection may have been broken off anywhere.
+		private boolean endedBeforeFirstEvent() {
+			return !this.started && !headers().contains(HttpHeaderNames.CONTENT_LENGTH)
+					&& !headers().contains(HttpHeaderNames.TRANSFER_ENCODING);
+		}
+
 		private void retryAfterRefusal() {
 			server().recordFullRefusal(System.nanoTime());
 			retry(null, true);
