Adopt blocks with partial knowledge of the crashes, and bound reports

The trace: a restarted daemon that had seen one or two crashes of its own took them for evidence against a peer's block and did not adopt it. Only crashes that another part explains are evidence against it now.

A report is bounded to 8 KiB of crashes and of successes: callers choose the number and length of parts, and a report that is too large for a datagram would have ended the exchange of usage. Ages and levels that no daemon would send are bounded.

--- a/gateway/src/main/java/org/skylarkstack/gateway/CrashSuspects.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/CrashSuspects.java
@@ -43,6 +43,13 @@
 
 	private static final int MAX_REPORTED_CRASHES = 32;
 
+	// Callers choose the number and length of the parts. A report must fit into a
+	// datagram whatever they send.
+	private static final int MAX_REPORTED_CHARACTERS = 8 * 1024;
+
+	// Ages in reports are bounded, because any process can send a datagram.
+	private static final long MAX_AGE_MILLIS = 86_400_000;
+
 	private final CrashAnalysis analysis;
 
 	private final List<CrashObservation> ownCrashes = new ArrayList<>();
@@ -137,8 +144,13 @@
 			return CrashReport.NONE;
 		}
 		Map<String, Long> successAges = new HashMap<>();
-		this.analysis.relevantSuccesses(this.peerBlocks.keySet())
-			.forEach((key, sentNanos) -> successAges.put(key, ageMillis(sentNanos, nowNanos)));
+		int characters = 0;
+		for (Map.Entry<String, Long> success : this.analysis.relevantSuccesses(this.peerBlocks.keySet()).entrySet()) {
+			if (characters + success.getKey().length() <= MAX_REPORTED_CHARACTERS) {
+				characters += success.getKey().length();
+				successAges.put(success.getKey(), ageMillis(success.getValue(), nowNanos));
+			}
+		}
 		Map<String, ReportedBlock> blocks = new HashMap<>();
 		this.analysis.blocks(nowNanos)
 			.forEach((part, block) -> blocks.put(part,
@@ -149,10 +161,16 @@
 	// Requests whose response had not started come first, because they may be the cause.
 	private List<ReportedCrash> reportedCrashes(long nowNanos) {
 		List<ReportedCrash> crashes = new ArrayList<>();
+		int characters = 0;
 		for (boolean started : new boolean[] { false, true }) {
 			for (int index = this.ownCrashes.size() - 1; index >= 0; index--) {
 				CrashObservation crash = this.ownCrashes.get(index);
-				if (crash.started() == started && crashes.size() < MAX_REPORTED_CRASHES) {
+				if (crash.started() != started) {
+					continue;
+				}
+				int needed = characters(crash);
+				if (crashes.size() < MAX_REPORTED_CRASHES && characters + needed <= MAX_REPORTED_CHARACTERS) {
+					characters += needed;
 					crashes.add(new ReportedCrash(crash.crashId(), crash.request(), crash.parts(), started,
 							ageMillis(crash.nanos(), nowNanos)));
 				}
@@ -161,22 +179,31 @@
 		return crashes;
 	}
 
+	private static int characters(CrashObservation crash) {
+		return crash.crashId().length() + crash.request().length()
+				+ crash.parts().stream().mapToInt(String::length).sum();
+	}
+
 	private void recordReport(CrashReport report, long nowNanos) {
 		report.successAges()
-			.forEach((key, age) -> this.analysis.recordSuccess(List.of(key),
-					nowNanos - age * NANOS_PER_MILLI - MAX_RELAY_NANOS, nowNanos));
+			.forEach((key, age) -> this.analysis.recordSuccess(List.of(key), timeOf(age, nowNanos) - MAX_RELAY_NANOS,
+					nowNanos));
 		for (ReportedCrash crash : report.crashes()) {
 			this.analysis.record(new CrashObservation(crash.crashId(), crash.request(), crash.parts(), crash.started(),
-					nowNanos - crash.ageMillis() * NANOS_PER_MILLI), nowNanos);
+					timeOf(crash.ageMillis(), nowNanos)), nowNanos);
 		}
 		report.blocks().forEach((part, block) -> {
 			this.peerBlocks.put(part, nowNanos);
-			this.analysis.adopt(part, new PartBlock(block.level(), nowNanos - block.ageMillis() * NANOS_PER_MILLI),
+			this.analysis.adopt(part, new PartBlock(Math.max(1, block.level()), timeOf(block.ageMillis(), nowNanos)),
 					nowNanos);
 		});
 		logChanges(nowNanos);
 	}
 
+	private static long timeOf(long ageMillis, long nowNanos) {
+		return nowNanos - Math.min(Math.max(0, ageMillis), MAX_AGE_MILLIS) * NANOS_PER_MILLI;
+	}
+
 	private static long ageMillis(long nanos, long nowNanos) {
 		return Math.max(0, (nowNanos - nanos) / NANOS_PER_MILLI);
 	}
--- a/kernel/src/main/java/org/skylarkstack/crash/CrashAnalysis.java
+++ b/kernel/src/main/java/org/skylarkstack/crash/CrashAnalysis.java
@@ -188,7 +188,7 @@
 		PartBlock known = this.blocks.get(part);
 		boolean outdated = (known != null && known.level() >= block.level()) || succeededSince(part, block.sinceNanos())
 				|| isForgotten(block, nowNanos);
-		if (!outdated && (this.causes.containsKey(part) || !isSuspect(part))) {
+		if (!outdated && (this.causes.containsKey(part) || !hasOtherCause(part))) {
 			block(part, block);
 			determineCauses(nowNanos);
 		}
@@ -341,6 +341,14 @@
 		return this.blocks.containsKey(part) || this.causes.containsKey(part);
 	}
 
+	private boolean hasOtherCause(String part) {
+		List<CrashObservation> crashes = this.observations.stream()
+			.filter((observation) -> observation.parts().contains(part))
+			.toList();
+		return !crashes.isEmpty()
+				&& crashes.stream().allMatch((crash) -> this.explainedCrashes.contains(crash.crashId()));
+	}
+
 	private void block(String part, PartBlock block) {
 		if (this.blocks.size() >= MAX_BLOCKS && !this.blocks.containsKey(part)) {
 			this.blocks.entrySet()
