Log the requests that are open when a daemon stops

Operators saw requests that ended without an answer during the planned stop of a VM. The daemon logged only their number ("stopped open=2"), which does not tell whether they came late on a connection that was already open, waited for an engine or for a retry, stood behind a longer response on their connection, or arrived slowly. Each request that is open at the end of a stop now gets a line with its position on the connection, the times of its first byte and of its arrival relative to the signal, the wait for an engine, the events sent, the attempts and the verdict. Behaviour does not change.

--- a/gateway/src/main/java/org/skylarkstack/edge/CallerConnection.java
+++ b/gateway/src/main/java/org/skylarkstack/edge/CallerConnection.java
@@ -65,6 +65,8 @@
 
 	private long receivingSinceNanos;
 
+	private int requestCount;
+
 	private long idleSinceNanos = System.nanoTime();
 
 	CallerConnection(EdgeServer server) {
@@ -168,8 +170,10 @@
 		if (request == null) {
 			return;
 		}
+		this.requestCount++;
 		CallerRequest callerRequest = new CallerRequest(request.method().name(), request.uri(), request.headers(),
-				this.body.toByteArray(), HttpUtil.isKeepAlive(request));
+				this.body.toByteArray(), HttpUtil.isKeepAlive(request),
+				new RequestArrival(this.requestCount, this.receivingSinceNanos));
 		if (this.exchange == null) {
 			dispatch(callerRequest);
 		}
--- a/gateway/src/main/java/org/skylarkstack/edge/CallerRequest.java
+++ b/gateway/src/main/java/org/skylarkstack/edge/CallerRequest.java
@@ -11,8 +11,10 @@
  * @param body the body, empty if there is none
  * @param keepAlive whether the caller requests that the connection stays open after the
  * response
+ * @param arrival how the request arrived
  */
-public record CallerRequest(String method, String target, HttpHeaders headers, byte[] body, boolean keepAlive) {
+public record CallerRequest(String method, String target, HttpHeaders headers, byte[] body, boolean keepAlive,
+		RequestArrival arrival) {
 
 	/**
 	 * Returns the path without the query.
--- a/gateway/src/main/java/org/skylarkstack/gateway/Exchange.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/Exchange.java
@@ -10,6 +10,7 @@
 import org.skylarkstack.edge.BackendCall;
 import org.skylarkstack.edge.BackendFailure;
 import org.skylarkstack.edge.CallerResponse;
+import org.skylarkstack.edge.RequestArrival;
 import org.skylarkstack.kernel.ErrorType;
 import org.skylarkstack.kernel.RouterException;
 import org.skylarkstack.kernel.Verdict;
@@ -387,6 +388,31 @@
 		return true;
 	}
 
+	/**
+	 * Logs that this request is open at the end of a stop.
+	 * @param stopNanos when the stop was requested, as monotonic time in nanoseconds
+	 * @param nowNanos the current monotonic time in nanoseconds
+	 */
+	final void logOpen(long stopNanos, long nowNanos) {
+		RequestArrival arrival = this.context.request().arrival();
+		log.atWarn()
+			.addKeyValue("event", "request-open-at-stop")
+			.addKeyValue("id", this.context.facts().requestId())
+			.addKeyValue("route", this.context.route().name())
+			.addKeyValue("numberOnConnection", arrival.number())
+			.addKeyValue("firstByteAfterStopMs", (arrival.firstByteNanos() - stopNanos) / NANOS_PER_MILLI)
+			.addKeyValue("arrivedAfterStopMs", (this.context.arrivedNanos() - stopNanos) / NANOS_PER_MILLI)
+			.addKeyValue("waitedMs", waitedMillis())
+			.addKeyValue("firstEventMs", firstEventMillis())
+			.addKeyValue("events", events())
+			.addKeyValue("outputTokens", this.context.facts().outputTokens())
+			.addKeyValue("attempts", this.attempts)
+			.addKeyValue("mayBeRunning", mayBeRunning())
+			.addKeyValue("verdict", this.verdict.headerValue())
+			.addKeyValue("ms", (nowNanos - this.context.arrivedNanos()) / NANOS_PER_MILLI)
+			.log();
+	}
+
 	private void callerDisconnected() {
 		if (finish(ErrorType.CALLER_GONE.httpStatus(), ErrorType.CALLER_GONE.code())) {
 			abandonCall();
--- a/gateway/src/main/java/org/skylarkstack/gateway/OpenExchanges.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/OpenExchanges.java
@@ -18,6 +18,15 @@
 		this.open.remove(exchange);
 	}
 
+	/**
+	 * Logs each open exchange, before the daemon stops and ends them.
+	 * @param stopNanos when the stop was requested, as monotonic time in nanoseconds
+	 * @param nowNanos the current monotonic time in nanoseconds
+	 */
+	public void logOpen(long stopNanos, long nowNanos) {
+		this.open.forEach((exchange) -> exchange.logOpen(stopNanos, nowNanos));
+	}
+
 	/**
 	 * Returns how many exchanges are open.
 	 * @return the number
--- a/gateway/src/test/java/org/skylarkstack/gateway/CrashSuspectsTests.java
+++ b/gateway/src/test/java/org/skylarkstack/gateway/CrashSuspectsTests.java
@@ -10,6 +10,7 @@
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
 import org.skylarkstack.edge.CallerRequest;
+import org.skylarkstack.edge.RequestArrival;
 import org.skylarkstack.kernel.ErrorType;
 import org.skylarkstack.kernel.RouterException;
 import org.skylarkstack.peers.CrashReport;
@@ -42,8 +43,8 @@
 
 	private static ExchangeContext request(String body, String... sharedParts) {
 		RequestFacts facts = new RequestFacts("id", "host", "key", 14_000, 5_000, 70, -1, null, List.of(sharedParts));
-		return new ExchangeContext(new CallerRequest("POST", "/path", EmptyHttpHeaders.INSTANCE, body.getBytes(), true),
-				facts, ROUTE, null, new ServicePolicy("model", 10, null), 1, 0);
+		return new ExchangeContext(new CallerRequest("POST", "/path", EmptyHttpHeaders.INSTANCE, body.getBytes(), true,
+				RequestArrival.UNKNOWN), facts, ROUTE, null, new ServicePolicy("model", 10, null), 1, 0);
 	}
 
 	private static BackendNode server(String id) {
--- a/gateway/src/test/java/org/skylarkstack/gateway/CrashingPartFleet.java
+++ b/gateway/src/test/java/org/skylarkstack/gateway/CrashingPartFleet.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import org.jspecify.annotations.Nullable;
 import org.skylarkstack.edge.CallerRequest;
+import org.skylarkstack.edge.RequestArrival;
 import org.skylarkstack.peers.PeerUsage;
 import org.skylarkstack.peers.UsageReport;
 
@@ -167,8 +168,8 @@
 
 	private static ExchangeContext context(String body, List<String> parts) {
 		RequestFacts facts = new RequestFacts("id", "host", "key", 14_000, 5_000, 70, -1, null, parts);
-		return new ExchangeContext(new CallerRequest("POST", "/path", EmptyHttpHeaders.INSTANCE, body.getBytes(), true),
-				facts, ROUTE, null, SERVICE, 1, 0);
+		return new ExchangeContext(new CallerRequest("POST", "/path", EmptyHttpHeaders.INSTANCE, body.getBytes(), true,
+				RequestArrival.UNKNOWN), facts, ROUTE, null, SERVICE, 1, 0);
 	}
 
 	/**
