Ignore a repeated SIGTERM instead of restarting the drain

A second SIGTERM during a stop set the begin of the drain to the present. The process then still worked when the platform killed it, and callers lost their connections without a word, in the worst case all of them.

DrainWindow now keeps the end of the first signal. It replaces the flag in GatewayState.

--- a/gateway/src/main/java/org/skylarkstack/gateway/GatewayState.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/GatewayState.java
@@ -25,7 +25,7 @@
 
 	private boolean backendsLoaded;
 
-	private boolean stopping;
+	private final DrainWindow drainWindow = new DrainWindow();
 
 	/**
 	 * Creates a state without configuration and backend servers.
@@ -103,9 +103,12 @@
 		return this.freshness;
 	}
 
-	/** Records that the daemon is stopping. */
-	public void stop() {
-		this.stopping = true;
+	/**
+	 * Returns the time that the daemon has left to complete requests.
+	 * @return the window, which begins when the daemon is asked to stop
+	 */
+	public DrainWindow drainWindow() {
+		return this.drainWindow;
 	}
 
 	/**
@@ -117,7 +120,7 @@
 	 */
 	public boolean ready(long nowNanos, long nowEpochMillis) {
 		RoutingTable table = this.routing;
-		return !this.stopping && table != null && this.backendsLoaded
+		return !this.drainWindow.isClosing() && table != null && this.backendsLoaded
 				&& (table.teams().isEmpty() || this.freshness.fresh(nowNanos, nowEpochMillis));
 	}
 
