End open requests with a verdict before a stopping daemon exits

At 0.92 of the grace the process ended with whatever was open. Callers saw a closed connection and could not tell whether a booking had run; a request that had not run was not reported as such, so callers must not repeat it.

At that time each open exchange now ends: as not run (503, error 1107) if no backend server can have run it, else as may have run (502), and a response that has begun is aborted so that it does not look complete.

GracefulStopTests.aRequestThatIsOpenAtTheEndOfAStopGetsItsVerdict failed before: the caller of the booking had no response 8 s after the signal.

--- a/gateway/src/main/java/org/skylarkstack/gateway/Exchange.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/Exchange.java
@@ -30,6 +30,11 @@
 
 	private static final long MIN_RETRY_AFTER_MILLIS = 800;
 
+	// Other VMs can serve the request immediately. The delay only spreads the retries.
+	private static final long MIN_STOP_RETRY_AFTER_MILLIS = 50;
+
+	private static final long MAX_STOP_RETRY_AFTER_MILLIS = 250;
+
 	private final GatewayComponents components;
 
 	private final ExchangeContext context;
@@ -323,12 +328,33 @@
 		if (suspected == null) {
 			return false;
 		}
-		String server = (this.backend != null) ? this.backend.node().id() : "none";
-		refuse((this.verdict == Verdict.NOT_RUN) ? suspected
-				: RouterException.of(ErrorType.BACKEND_FAILED, this.verdict, suspected, server, suspected.type()));
+		refuseBecauseOf(suspected);
 		return true;
 	}
 
+	private RouterException stopRefusal() {
+		return RouterException.retryAfter(ErrorType.NOT_READY, Duration
+			.ofMillis(this.components.random().nextLong(MIN_STOP_RETRY_AFTER_MILLIS, MAX_STOP_RETRY_AFTER_MILLIS)));
+	}
+
+	private void refuseBecauseOf(RouterException refusal) {
+		String server = (this.backend != null) ? this.backend.node().id() : "none";
+		refuse((this.verdict == Verdict.NOT_RUN) ? refusal
+				: RouterException.of(ErrorType.BACKEND_FAILED, this.verdict, refusal, server, refusal.type()));
+	}
+
+	/** Ends the request with its verdict because the daemon stops now. */
+	final void endForStop() {
+		if (this.finished) {
+			return;
+		}
+		if (mayBeRunning()) {
+			combineVerdict(Verdict.MAY_HAVE_RUN);
+		}
+		abandonCall();
+		refuseBecauseOf(stopRefusal());
+	}
+
 	private void refuse(RouterException failure) {
 		if (finish(failure.type().httpStatus(), failure.type().code())) {
 			release();
--- a/gateway/src/main/java/org/skylarkstack/gateway/OpenExchanges.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/OpenExchanges.java
@@ -1,6 +1,7 @@
 package org.skylarkstack.gateway;
 
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
 
 /**
@@ -27,6 +28,11 @@
 		this.open.forEach((exchange) -> exchange.logOpen(stopNanos, nowNanos));
 	}
 
+	/** Ends each open exchange with its verdict because the daemon stops. */
+	public void endAll() {
+		List.copyOf(this.open).forEach(Exchange::endForStop);
+	}
+
 	/**
 	 * Returns how many exchanges are open.
 	 * @return the number
