Refuse requests that would not be complete before a stop ends

What callers saw: on the planned stop of a VM, in calm, streams that arrived up to 3.2 s after SIGTERM on connections that were already open ran on healthy engines and were cut off at 7.4 s, in the middle of their responses (LOST).

Cause: the daemon takes requests until the balancer has removed it, and ends at a fixed time. Nothing between the two asked whether a request can be complete in the time that is left. The same held for requests that leave the queue, for retries and for resumes.

The gateway now asks before each attempt and while a stream waits: DrainWindow compares the time left with an estimate from complete responses, the route's mean duration plus four mean deviations, or for streams an upper output length times an upper time per token (CompletionTimeEstimator, OutputLengthEstimator). A request that does not fit is refused as not run (503, error 1107, Connection: close), with a Retry-After of 0.05 to 0.25 s, because other VMs can serve it.

Ruled out by the log of open requests: waits in the queue, retries, slow bodies and pipelined requests; none of the four streams had any.

--- a/gateway/src/main/java/org/skylarkstack/gateway/Exchange.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/Exchange.java
@@ -319,16 +319,28 @@
 	}
 
 	/**
-	 * Ends the request if it is suspected of crashing servers by now.
+	 * Returns the time that the request still needs until its response is complete if an
+	 * attempt starts now.
+	 * @param nowNanos the current monotonic time in nanoseconds
+	 * @return the estimate in milliseconds
+	 */
+	abstract long requiredMillis(long nowNanos);
+
+	/**
+	 * Ends the request if no attempt may start any more: it is suspected of crashing
+	 * servers by now, or it would not be complete before the daemon stops.
 	 * @param nowNanos the current monotonic time in nanoseconds
 	 * @return whether it has ended
 	 */
-	final boolean endIfCrashSuspect(long nowNanos) {
-		RouterException suspected = this.components.suspects().refusal(this.context, nowNanos);
-		if (suspected == null) {
+	final boolean endIfNotStartable(long nowNanos) {
+		RouterException refusal = this.components.suspects().refusal(this.context, nowNanos);
+		if (refusal == null && !this.components.state().drainWindow().permits(requiredMillis(nowNanos), nowNanos)) {
+			refusal = stopRefusal();
+		}
+		if (refusal == null) {
 			return false;
 		}
-		refuseBecauseOf(suspected);
+		refuseBecauseOf(refusal);
 		return true;
 	}
 
--- a/gateway/src/main/java/org/skylarkstack/gateway/FirstEventDelayEstimator.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/FirstEventDelayEstimator.java
@@ -7,23 +7,17 @@
  */
 final class FirstEventDelayEstimator {
 
-	private static final double SMOOTHING = 0.05;
-
-	// Two mean deviations above the mean; about nine in ten streams have a shorter delay.
+	// About nine in ten streams have a shorter delay.
 	private static final double ALLOWED_DEVIATIONS = 2.0;
 
-	private double meanMillis = 200;
-
-	private double deviationMillis = 40;
+	private final DelayStatistics millis = new DelayStatistics(200, 40);
 
 	/**
 	 * Updates the estimate with the delay of a stream.
-	 * @param millis the time from admission to the first event, in milliseconds
+	 * @param delayMillis the time from admission to the first event, in milliseconds
 	 */
-	void update(long millis) {
-		double error = millis - this.meanMillis;
-		this.meanMillis += SMOOTHING * error;
-		this.deviationMillis += SMOOTHING * (Math.abs(error) - this.deviationMillis);
+	void update(long delayMillis) {
+		this.millis.update(delayMillis);
 	}
 
 	/**
@@ -31,7 +25,7 @@
 	 * @return the mean delay plus a margin, in milliseconds
 	 */
 	long allowanceMillis() {
-		return (long) (this.meanMillis + ALLOWED_DEVIATIONS * this.deviationMillis);
+		return (long) this.millis.upper(ALLOWED_DEVIATIONS);
 	}
 
 }
--- a/gateway/src/main/java/org/skylarkstack/gateway/GatewayComponents.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/GatewayComponents.java
@@ -17,6 +17,7 @@
  * @param backendChooser chooses the server of a request to a plain service
  * @param prefillEngineChooser chooses the engine that processes a prompt
  * @param admission queues stream requests until an engine has free capacity
+ * @param completionTimes estimates the time until a response is complete
  * @param retryBudget limits the attempts beyond the first of each request
  * @param limits limits the usage of each team
  * @param suspects records the requests that were running when a server crashed
@@ -25,7 +26,7 @@
  */
 public record GatewayComponents(EventLoop loop, GatewayState state, WireDialect dialect, BackendClient backendClient,
 		BodyBudget bodyBudget, BackendChooser backendChooser, PrefillEngineChooser prefillEngineChooser,
-		StreamAdmission admission, RetryBudget retryBudget, TeamLimits limits, CrashSuspects suspects,
-		GatewayMetrics metrics, RandomGenerator random) {
+		StreamAdmission admission, CompletionTimeEstimator completionTimes, RetryBudget retryBudget, TeamLimits limits,
+		CrashSuspects suspects, GatewayMetrics metrics, RandomGenerator random) {
 
 }
--- a/gateway/src/main/java/org/skylarkstack/gateway/ServiceExchange.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/ServiceExchange.java
@@ -17,6 +17,8 @@
 	// Share of the remaining time that an attempt may take if another may follow it.
 	private static final double ATTEMPT_TIME_SHARE = 0.5;
 
+	private static final long NANOS_PER_MILLI = 1_000_000;
+
 	private static final double ELEVATED_ERROR_SHARE_FACTOR = 1.5;
 
 	private static final double ELEVATED_ERROR_SHARE_MARGIN = 0.2;
@@ -31,9 +33,15 @@
 		attempt(null);
 	}
 
+	@Override
+	long requiredMillis(long nowNanos) {
+		return components().completionTimes()
+			.responseMillis(context().route().name(), context().remainingMillis(nowNanos));
+	}
+
 	private void attempt(@Nullable BackendFailure lastFailure) {
 		long now = System.nanoTime();
-		if (endIfCrashSuspect(now)) {
+		if (endIfNotStartable(now)) {
 			return;
 		}
 		List<BackendState> candidates = components().state()
@@ -67,9 +75,11 @@
 
 	private void relay(PlainAttempt attempt, ResponseHead head) {
 		combineVerdict(Verdict.RAN);
+		long now = System.nanoTime();
+		components().completionTimes()
+			.recordResponse(context().route().name(), (now - attempt.sentNanos()) / NANOS_PER_MILLI);
 		if (finish(head.status(), 0)) {
-			components().metrics()
-				.firstByte(context().route().kind().name(), System.nanoTime() - context().arrivedNanos());
+			components().metrics().firstByte(context().route().kind().name(), now - context().arrivedNanos());
 			response().send(head.status(), components().dialect().forwardedHeaders(attempt.headers()), attempt.body());
 		}
 	}
--- a/gateway/src/main/java/org/skylarkstack/gateway/StreamExchange.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/StreamExchange.java
@@ -71,6 +71,8 @@
 
 	private final long requestAgeMillis;
 
+	private final long expectedTokens;
+
 	private long admittedNanos;
 
 	private long responseStartedNanos;
@@ -91,8 +93,8 @@
 		this.requestAgeMillis = components.admission()
 			.requestAges()
 			.ageMillis(context.route().name(), facts.timeoutMillis());
-		this.reservations = new EngineReservations(facts,
-				components.admission().outputLengths().expectedTokens(context.route().name(), facts));
+		this.expectedTokens = components.admission().outputLengths().expectedTokens(context.route().name(), facts);
+		this.reservations = new EngineReservations(facts, this.expectedTokens);
 		this.prefillResult = new PrefillResultHolder(profile.prefillResultTtlMillis());
 		this.silence = StreamSilence.of(context.route());
 	}
@@ -135,9 +137,23 @@
 	}
 
 	@Override
-	public long expiryNanos() {
-		return context().arrivedNanos()
-				+ (long) (MAX_WAIT_IN_TARGETS * context().route().targetMillis()) * NANOS_PER_MILLI;
+	public boolean isExpired(long nowNanos) {
+		long waitMillis = (long) (MAX_WAIT_IN_TARGETS * context().route().targetMillis());
+		return nowNanos - context().arrivedNanos() >= waitMillis * NANOS_PER_MILLI
+				|| !components().state().drainWindow().permits(requiredMillis(nowNanos), nowNanos);
+	}
+
+	@Override
+	long requiredMillis(long nowNanos) {
+		long remainingTokens = components().admission()
+			.outputLengths()
+			.upperTokens(context().route().name(), context().facts(), this.expectedTokens)
+				- this.eventBuffer.eventCount() * this.profile.tokensPerEvent();
+		long startMillis = (this.prefillResult.source() != null) ? 0
+				: components().admission().firstEventDelays().allowanceMillis();
+		return startMillis + components().completionTimes()
+			.streamMillis(context().service().name(), Math.max(0, remainingTokens),
+					context().remainingMillis(nowNanos));
 	}
 
 	@Override
@@ -155,7 +171,9 @@
 
 	@Override
 	public void refuse() {
-		giveUp(null);
+		if (!endIfNotStartable(System.nanoTime())) {
+			giveUp(null);
+		}
 	}
 
 	@Override
@@ -211,7 +229,7 @@
 
 	private void prefill() {
 		long now = System.nanoTime();
-		if (endIfCrashSuspect(now)) {
+		if (endIfNotStartable(now)) {
 			return;
 		}
 		BackendState target = this.reservations.decodeEngine();
@@ -259,7 +277,7 @@
 
 	private void decode(@Nullable BackendFailure lastFailure) {
 		long now = System.nanoTime();
-		if (endIfCrashSuspect(now)) {
+		if (endIfNotStartable(now)) {
 			return;
 		}
 		if (this.prefillResult.isStale(now)) {
@@ -470,16 +488,23 @@
 			else {
 				combineVerdict(Verdict.RAN);
 				server().recordSuccess();
-				components().admission()
-					.outputLengths()
-					.update(context().route().name(), StreamExchange.this.eventBuffer.eventCount()
-							* StreamExchange.this.profile.tokensPerEvent());
+				recordCompletion();
 				if (finish(head.status(), 0)) {
 					response().finish();
 				}
 			}
 		}
 
+		private void recordCompletion() {
+			long tokens = StreamExchange.this.eventBuffer.eventCount() * StreamExchange.this.profile.tokensPerEvent();
+			components().admission()
+				.outputLengths()
+				.update(context().route().name(), tokens, StreamExchange.this.expectedTokens);
+			components().completionTimes()
+				.recordStream(context().service().name(), tokens,
+						(System.nanoTime() - StreamExchange.this.responseStartedNanos) / NANOS_PER_MILLI);
+		}
+
 		// A body that ends with the connection may have been broken off anywhere.
 		private boolean endedBeforeFirstEvent() {
 			return !this.started && !headers().contains(HttpHeaderNames.CONTENT_LENGTH)
--- a/gateway/src/main/java/org/skylarkstack/gateway/StreamQueue.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/StreamQueue.java
@@ -62,7 +62,7 @@
 	}
 
 	private boolean refuseExpired(WaitingStream stream, long nowNanos) {
-		boolean expired = nowNanos - stream.expiryNanos() >= 0;
+		boolean expired = stream.isExpired(nowNanos);
 		if (expired) {
 			this.waiting.remove(stream);
 			stream.refuse();
--- a/gateway/src/main/java/org/skylarkstack/gateway/WaitingStream.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/WaitingStream.java
@@ -32,10 +32,12 @@
 	long admissionTargetNanos();
 
 	/**
-	 * Returns when the request is refused if it has not been admitted.
-	 * @return the monotonic time in nanoseconds
+	 * Returns whether the request is refused if it has not been admitted.
+	 * @param nowNanos the current monotonic time in nanoseconds
+	 * @return whether it has waited too long, or would not be complete before the daemon
+	 * stops
 	 */
-	long expiryNanos();
+	boolean isExpired(long nowNanos);
 
 	/**
 	 * Admits the request to an engine that has enough free memory for it.
--- a/gateway/src/test/java/org/skylarkstack/gateway/DecodeEngineChooserTests.java
+++ b/gateway/src/test/java/org/skylarkstack/gateway/DecodeEngineChooserTests.java
@@ -101,7 +101,7 @@
 	@Test
 	void estimatesAreCorrectedTowardsTheMeanLength() {
 		OutputLengthEstimator lengths = new OutputLengthEstimator();
-		lengths.update("route", 4_000);
+		lengths.update("route", 4_000, 4_000);
 		RequestFacts facts = new RequestFacts("id", "host", null, -1, 5_000, 6_500, 1_000, null, List.of());
 		assertThat(lengths.expectedTokens("route", facts)).isEqualTo(2_000);
 	}
--- a/gateway/src/test/java/org/skylarkstack/gateway/StreamQueueTests.java
+++ b/gateway/src/test/java/org/skylarkstack/gateway/StreamQueueTests.java
@@ -136,8 +136,8 @@
 		}
 
 		@Override
-		public long expiryNanos() {
-			return this.arrivedNanos + 2_500 * MILLI;
+		public boolean isExpired(long nowNanos) {
+			return nowNanos - this.arrivedNanos >= 2_500 * MILLI;
 		}
 
 		@Override
