Announce the end of the connection on all responses during a shutdown

What callers saw: a response that began during a shutdown, to a request that had arrived before it, did not say Connection: close; neither did /v1/models. Callers kept such connections and sent their next request on them while the daemon closed them.

Cause: the header was set when a request arrived, and only for requests that take a slot. It is now set when the head of the response is prepared, for all requests that reach the server's handlers. Streams, error responses and refusals of requests that arrive during the shutdown had it before and have it still.

ShutdownTests.responsesDuringAShutdownAnnounceTheEndOfTheConnection failed before at "earlier booking": 201 without Connection: close.

--- a/bench/src/test/java/org/skylarkstack/fleet/ShutdownTests.java
+++ b/bench/src/test/java/org/skylarkstack/fleet/ShutdownTests.java
@@ -26,7 +26,7 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 
 /**
- * Graceful shutdowns of a daemon with open requests, over raw sockets.
+ * Graceful shutdowns of a daemon with open and late requests, over raw sockets.
  */
 class ShutdownTests {
 
@@ -36,6 +36,8 @@
 
 	private static final String MAY_HAVE_RUN = "X-Skylark-Verdict: may-have-run\r\n";
 
+	private static final String CLOSE = "Connection: close\r\n";
+
 	private @Nullable LocalFleet fleet;
 
 	private int port;
@@ -172,4 +174,34 @@
 			.isEqualTo("may-have-run");
 	}
 
+	// Guards against callers that send their next request on a connection that is about
+	// to be closed.
+	@Test
+	void responsesDuringAShutdownAnnounceTheEndOfTheConnection() throws Exception {
+		start(1_500, 1_000, 20);
+		fleet().servers("records").get(0).slowBy(600);
+		fleet().servers("records").get(0).inject(PlainServiceFault.SLOW, 1);
+		send("earlier booking", request("POST /bookings", "{}"));
+		await(() -> fleet().servers("records").get(0).requests().size() == 1);
+		stopDaemon();
+		await(() -> {
+			send("ready", request("GET /readyz", "", "Connection: close"));
+			return response("ready").startsWith("HTTP/1.1 503");
+		});
+		send("booking", request("POST /bookings", "{}"));
+		send("stream", completion(true, 3, ""));
+		send("json", completion(false, 3, ""));
+		send("models", request("GET /v1/models", ""));
+		send("unknown route", request("GET /nowhere", ""));
+		send("wrong key", completion(true, 3, "").replace("Bearer key", "Bearer other"));
+		send("pipelined", request("GET /status/pump", "") + request("GET /status/valve", ""));
+		this.responses.forEach((name, response) -> assertWithMessage(name).that(response.join()).contains(CLOSE));
+		assertThat(response("earlier booking")).startsWith("HTTP/1.1 201");
+		assertThat(response("booking")).startsWith("HTTP/1.1 201");
+		assertThat(response("stream")).contains("[DONE]");
+		assertThat(response("wrong key")).startsWith("HTTP/1.1 401");
+		assertThat(fleet().servers("records").get(0).requests().stream().map((request) -> request.path()))
+			.doesNotContain("/status/valve");
+	}
+
 }
--- a/runtime/src/main/java/org/skylarkstack/http/CallerApi.java
+++ b/runtime/src/main/java/org/skylarkstack/http/CallerApi.java
@@ -115,6 +115,7 @@
 	 */
 	public void register(JavalinConfig config) {
 		CallerServer.apply(config, this.limits);
+		config.routes.before(this::announceEndOfConnection);
 		config.routes.get("/livez", (context) -> context.result("ok"));
 		config.routes.get("/readyz", this::ready);
 		config.routes.get("/v1/models", this::models);
@@ -127,13 +128,15 @@
 		config.routes.exception(Exception.class, CallerApi::handleInternalError);
 	}
 
+	private void announceEndOfConnection(Context context) {
+		ServletContextRequest.getServletContextRequest(context.req())
+			.addHttpStreamWrapper((stream) -> new ClosingStream(stream, this.ready));
+	}
+
 	// The server sends the end of a response after the handler has returned. The slot is
 	// held until then, so that a shutdown does not close the connection too early.
 	private Handler withOpenRequestSlot(RequestHandler handler) {
 		return (context) -> {
-			if (!this.ready.getAsBoolean()) {
-				context.header("Connection", "close");
-			}
 			OpenRequests.Slot slot = this.openRequests.acquireSlot();
 			Request.addCompletionListener(ServletContextRequest.getServletContextRequest(context.req()),
 					(failure) -> slot.close());
