Leave the next request on a connection to the server

What callers saw: a kept connection on which a caller sent its next request at once was closed without a response, at any time, not only during a shutdown.

Cause: to detect callers that disconnect, CallerDisconnectMonitor reads from the socket while a request is open. A plain service's response with a known length is complete for the caller when its last bytes are written, but the request stayed open until the handler had returned. A check in between took the first byte of the next request, which Jetty then could not read, so the connection was closed.

Reading from the socket now ends before the last bytes of such a response are written. Streams and chunked responses are not affected: Jetty sends their last chunk after the handler has returned, as it does JSON responses.

--- a/runtime/src/main/java/org/skylarkstack/http/ServiceApi.java
+++ b/runtime/src/main/java/org/skylarkstack/http/ServiceApi.java
@@ -107,7 +107,7 @@
 
 	private void run(Context context, JettyConnection connection, OpenRequests.Slot slot, @Nullable ClaimedRun claimed,
 			String teamId, ServiceRequest request) {
-		ContextResponseSink responseSink = new ContextResponseSink(context);
+		ContextResponseSink responseSink = new ContextResponseSink(context, connection);
 		try {
 			this.proxy.run(request, claimed, responseSink);
 			count(request, teamId, RequestOutcome.ANSWERED);
@@ -148,10 +148,15 @@
 
 		private final Context context;
 
+		private final JettyConnection connection;
+
+		private long remainingBytes = -1;
+
 		private boolean begun;
 
-		ContextResponseSink(Context context) {
+		ContextResponseSink(Context context, JettyConnection connection) {
 			this.context = context;
+			this.connection = connection;
 		}
 
 		@Override
@@ -163,12 +168,18 @@
 			this.context.res().setHeader(ErrorResponse.VERDICT, IdempotencyKeyHandler.verdict(status).headerValue());
 			if (contentLength >= 0) {
 				this.context.res().setContentLengthLong(contentLength);
+				this.remainingBytes = contentLength;
 			}
 		}
 
 		@Override
 		public void write(byte[] buffer, int length) throws IOException {
 			if (length > 0) {
+				this.remainingBytes -= length;
+				if (this.remainingBytes == 0) {
+					// The caller may send its next request as soon as it has these bytes.
+					this.connection.close();
+				}
 				this.context.res().getOutputStream().write(buffer, 0, length);
 				this.context.res().getOutputStream().flush();
 			}
--- a/runtime/src/test/java/org/skylarkstack/http/CallerApiTests.java
+++ b/runtime/src/test/java/org/skylarkstack/http/CallerApiTests.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 import io.javalin.Javalin;
 import mockwebserver3.MockResponse;
@@ -266,6 +267,31 @@
 		}
 	}
 
+	// Guards against a check that takes the first byte of the next request, which callers
+	// send as soon as they have the response, and so makes the server close the
+	// connection.
+	@Test
+	void nextRequestOnTheConnectionIsAnswered() throws Exception {
+		AtomicBoolean ended = new AtomicBoolean();
+		Thread checks = new Thread(() -> {
+			while (!ended.get()) {
+				this.disconnectMonitor.check();
+			}
+		}, "checks");
+		checks.start();
+		try (Socket socket = send("")) {
+			for (int index = 0; index < 500; index++) {
+				this.service.enqueue(new MockResponse.Builder().body("soup").build());
+				socket.getOutputStream().write(head("GET /menu", 0).getBytes(StandardCharsets.UTF_8));
+				readUntil(socket, "soup");
+			}
+		}
+		finally {
+			ended.set(true);
+			checks.join();
+		}
+	}
+
 	// Guards against responses to HEAD that announce a body and never end.
 	@Test
 	void headAndEmptyResponsesPass() throws IOException {
