Refuse requests that a shutdown would end

What callers saw: a daemon that stops accepted every request until the end of balancerReleaseMillis, also one that could not be complete before drainMillis ended. It ran on engines or services and was then ended with error 1307, may have run; requests that must not be repeated were left with an unknown outcome. Retries, resumes and requests that left the placement queue began at any time before that end. With the default of 60 s this needs a long response; with a drain of a few seconds, as short grace periods demand, any response will do.

Cause: nothing compared the time that is left with the time that a request takes.

ShutdownAdmission now does, with the time as an argument: before a claim, when a request leaves the queue, and before a retry or resume. A request that waits in the queue is ended when it could no longer be complete. The refusal is 1107 (503, not run, Retry-After) on a connection that is closed; it comes before the claim, so that the idempotency key stays free.

--- a/bench/src/test/java/org/skylarkstack/fleet/ShutdownTests.java
+++ b/bench/src/test/java/org/skylarkstack/fleet/ShutdownTests.java
@@ -5,6 +5,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -174,6 +175,38 @@
 			.isEqualTo("may-have-run");
 	}
 
+	// Guards against requests that are accepted late and cut off at the end of the drain
+	// because they never had enough time.
+	@Test
+	void lateRequestsThatCannotFinishAreRefused() throws Exception {
+		start(1_500, 500, 20);
+		fleet().servers("records").get(0).slowBy(1_500);
+		fleet().servers("records").get(0).inject(PlainServiceFault.SLOW, 4);
+		List<Socket> kept = new ArrayList<>();
+		for (int index = 0; index < 4; index++) {
+			kept.add(connect());
+			send("earlier booking " + index, request("POST /bookings", "{}", "Connection: close"));
+			send("earlier stream " + index, completion(true, 100, "").replaceFirst("\r\n", "\r\n" + CLOSE));
+		}
+		this.responses.values().forEach(CompletableFuture::join);
+		fleet().servers("records").get(0).inject(PlainServiceFault.SLOW, 1);
+		stopDaemon();
+		Thread.sleep(1_000);
+		send("booking", kept.get(0), request("POST /bookings", "{}"));
+		send("keyed booking", kept.get(1), request("POST /bookings", "{}", "Idempotency-Key: visit-2"));
+		send("stream", kept.get(2), completion(true, 100, ""));
+		send("json", kept.get(3), completion(false, 100, ""));
+		send("short stream", completion(true, 10, ""));
+		for (String name : List.of("booking", "keyed booking", "stream", "json")) {
+			assertFailed(name, 503, NOT_RUN);
+			assertThat(response(name)).contains(CLOSE);
+			assertThat(response(name)).contains("Retry-After");
+		}
+		assertThat(response("short stream")).contains("[DONE]");
+		assertThat(fleet().servers("records").get(0).requests()).hasSize(4);
+		assertThat(client().send(client().service("vm-2", KEY, "/bookings", "{}", "visit-2")).status()).isEqualTo(201);
+	}
+
 	// Guards against callers that send their next request on a connection that is about
 	// to be closed.
 	@Test
--- a/daemon/src/main/java/org/skylarkstack/daemon/ApiModule.java
+++ b/daemon/src/main/java/org/skylarkstack/daemon/ApiModule.java
@@ -24,6 +24,7 @@
 import org.skylarkstack.request.RetryBudget;
 import org.skylarkstack.request.RetryPolicy;
 import org.skylarkstack.request.ServiceProxy;
+import org.skylarkstack.request.ShutdownAdmission;
 import org.skylarkstack.request.ShutdownSequence;
 import org.skylarkstack.settings.DaemonSettings;
 
@@ -65,9 +66,10 @@
 	static ServiceApi serviceApi(DaemonSettings settings, ConfigurationHolder configuration,
 			Authenticator authenticator, OpenRequests openRequests, CallerDisconnectMonitor disconnectMonitor,
 			IdempotencyKeyHandler idempotencyKeyHandler, BackendClients clients, RetryBudget retryBudget,
-			RouterMetrics metrics, TimeSource time) {
+			ShutdownAdmission shutdownAdmission, RouterMetrics metrics, TimeSource time) {
 		ServiceProxy proxy = new ServiceProxy(configuration, clients, new BackendServerSelector(settings.dataCentre()),
-				retryBudget, new RetryPolicy(retryBudget), settings.backendTimeouts().serviceIdleMillis(), time);
+				retryBudget, new RetryPolicy(retryBudget), shutdownAdmission,
+				settings.backendTimeouts().serviceIdleMillis(), time);
 		return new ServiceApi(configuration, authenticator, openRequests, disconnectMonitor, idempotencyKeyHandler,
 				proxy, settings.callerLimits(), metrics, time);
 	}
--- a/daemon/src/main/java/org/skylarkstack/daemon/Daemon.java
+++ b/daemon/src/main/java/org/skylarkstack/daemon/Daemon.java
@@ -14,6 +14,7 @@
 import org.skylarkstack.metrics.RouterMetrics;
 import org.skylarkstack.peer.TcpPeerTransport;
 import org.skylarkstack.request.OpenRequests;
+import org.skylarkstack.request.ShutdownAdmission;
 import org.skylarkstack.request.ShutdownSequence;
 import org.skylarkstack.settings.DaemonSettings;
 import org.skylarkstack.settings.ListenAddress;
@@ -44,6 +45,8 @@
 
 	private final ShutdownSequence shutdown;
 
+	private final ShutdownAdmission shutdownAdmission;
+
 	private final OpenRequests openRequests;
 
 	private final DaemonMetrics metrics;
@@ -60,18 +63,21 @@
 	 * @param fleetServices the services that coordinate this daemon with its peers
 	 * @param requestDuties the periodic tasks of the request path
 	 * @param shutdown the phases of a graceful shutdown
+	 * @param shutdownAdmission refuses work that a shutdown would end
 	 * @param openRequests the open requests of callers
 	 * @param metrics the metrics
 	 */
 	@Inject
 	Daemon(DaemonSettings settings, CallerApi callerApi, OperatorApi operatorApi, FleetServices fleetServices,
-			RequestDuties requestDuties, ShutdownSequence shutdown, OpenRequests openRequests, DaemonMetrics metrics) {
+			RequestDuties requestDuties, ShutdownSequence shutdown, ShutdownAdmission shutdownAdmission,
+			OpenRequests openRequests, DaemonMetrics metrics) {
 		this.settings = settings;
 		this.callerApi = callerApi;
 		this.operatorApi = operatorApi;
 		this.fleetServices = fleetServices;
 		this.requestDuties = requestDuties;
 		this.shutdown = shutdown;
+		this.shutdownAdmission = shutdownAdmission;
 		this.openRequests = openRequests;
 		this.metrics = metrics;
 		this.callerServer = Javalin.create((config) -> {
@@ -168,13 +174,16 @@
 		close();
 		LOG.atInfo()
 			.addKeyValue("event", "daemon_stopped")
+			.addKeyValue("refused", this.shutdownAdmission.refused())
 			.addKeyValue("ended_not_run", this.openRequests.endedNotRun())
 			.addKeyValue("ended_may_have_run", this.openRequests.endedMayHaveRun())
 			.log();
 	}
 
 	private ShutdownSequence.Phase pollShutdown() {
-		ShutdownSequence.Phase phase = this.shutdown.poll(this.openRequests.openCount(), System.nanoTime());
+		long nowNanos = System.nanoTime();
+		ShutdownSequence.Phase phase = this.shutdown.poll(this.openRequests.openCount(), nowNanos);
+		this.shutdownAdmission.endWaiting(nowNanos);
 		if (phase == ShutdownSequence.Phase.DRAINING) {
 			this.openRequests.refuseNew();
 		}
--- a/daemon/src/main/java/org/skylarkstack/daemon/DaemonMetrics.java
+++ b/daemon/src/main/java/org/skylarkstack/daemon/DaemonMetrics.java
@@ -15,6 +15,7 @@
 import org.skylarkstack.request.EngineCanceller;
 import org.skylarkstack.request.OpenRequests;
 import org.skylarkstack.request.RequestCounters;
+import org.skylarkstack.request.ShutdownAdmission;
 
 /**
  * Registers gauges and counters that read the state of a daemon's components.
@@ -30,7 +31,7 @@
 	DaemonMetrics(RouterMetrics metrics, ConfigurationHolder configuration, KeyFreshness freshness,
 			Membership membership, LendingTeamLimiter limiter, TcpPeerTransport transport, OpenRequests openRequests,
 			RequestCounters requests, EngineCanceller canceller, HttpEngineClient engines,
-			ClaimWriteRetryQueue claimWriteRetryQueue, TimeSource time) {
+			ClaimWriteRetryQueue claimWriteRetryQueue, ShutdownAdmission shutdownAdmission, TimeSource time) {
 		this.metrics = metrics;
 		metrics.gauge("skylark_ticket_applied", "Number up to which all tickets are in force.",
 				() -> configuration.current().appliedNumber());
@@ -51,6 +52,8 @@
 				canceller::abandonedCount);
 		metrics.counter("skylark_claim_repairs_dropped_total", "Claims left to expire because the store was down.",
 				claimWriteRetryQueue::dropped);
+		metrics.counter("skylark_shutdown_refused_total",
+				"Requests and retries refused because a shutdown left too little time.", shutdownAdmission::refused);
 		metrics.counter("skylark_shutdown_ended_not_run_total", "Requests ended by a shutdown before they ran.",
 				openRequests::endedNotRun);
 		metrics.counter("skylark_shutdown_ended_may_have_run_total", "Requests ended by a shutdown that may have run.",
--- a/daemon/src/main/java/org/skylarkstack/daemon/RequestModule.java
+++ b/daemon/src/main/java/org/skylarkstack/daemon/RequestModule.java
@@ -34,6 +34,7 @@
 import org.skylarkstack.request.RequestPipeline;
 import org.skylarkstack.request.RetryBudget;
 import org.skylarkstack.request.RetryPolicy;
+import org.skylarkstack.request.ShutdownAdmission;
 import org.skylarkstack.request.ShutdownSequence;
 import org.skylarkstack.request.SuspectRunGrants;
 import org.skylarkstack.schedule.Placer;
@@ -130,10 +131,11 @@
 	static RequestComponents requestComponents(DaemonSettings settings, RequestIds ids,
 			ConfigurationHolder configuration, TeamLimiter limiter, Placer placer, EngineClient engines,
 			EngineCanceller canceller, RetryBudget retryBudget, CrashSuspects suspects, CrashReporter crashReporter,
-			TableStore store, RequestCounters counters, TimeSource time) {
+			ShutdownAdmission shutdownAdmission, TableStore store, RequestCounters counters, TimeSource time) {
 		return new RequestComponents(settings.vmId(), ids, configuration, limiter, placer, engines, canceller,
 				new EngineQuarantine(), retryBudget, new RetryPolicy(retryBudget), suspects,
-				new SuspectRunGrants(store, CRASH_SUSPECT_RETENTION.toMillis()), crashReporter, counters, time);
+				new SuspectRunGrants(store, CRASH_SUSPECT_RETENTION.toMillis()), crashReporter, shutdownAdmission,
+				counters, time);
 	}
 
 	@Provides
@@ -170,4 +172,10 @@
 				Duration.ofMillis(timeouts.drainMillis()).toNanos(), END_TIMEOUT.toNanos());
 	}
 
+	@Provides
+	@Singleton
+	static ShutdownAdmission shutdownAdmission(ShutdownSequence shutdown) {
+		return new ShutdownAdmission(shutdown);
+	}
+
 }
--- a/runtime/src/main/java/org/skylarkstack/http/CallerApi.java
+++ b/runtime/src/main/java/org/skylarkstack/http/CallerApi.java
@@ -203,6 +203,7 @@
 		try (CallerExchange exchange = new CallerExchange(this.openRequests, this.disconnectMonitor, connection,
 				open)) {
 			exchange.checkBeforeStart();
+			this.pipeline.checkTimeLeft(request);
 			IdempotencyKeyHandler.ClaimResult claimResult = this.idempotencyKeyHandler.claim(context, team.id(),
 					idempotent, body);
 			if (!claimResult.replayed()) {
--- a/runtime/src/main/java/org/skylarkstack/http/ServiceApi.java
+++ b/runtime/src/main/java/org/skylarkstack/http/ServiceApi.java
@@ -95,6 +95,7 @@
 				open)) {
 			exchange.checkBeforeStart();
 			boolean idempotent = !route.nonIdempotent() && !IdempotencyKeyHandler.marksNonIdempotent(context);
+			this.proxy.checkTimeLeft(route, idempotent);
 			IdempotencyKeyHandler.ClaimResult claimResult = this.idempotencyKeyHandler.claim(context,
 					route.open() ? "open/" + route.id() : teamId, idempotent, body);
 			if (!claimResult.replayed()) {
--- a/runtime/src/main/java/org/skylarkstack/request/CompletionRun.java
+++ b/runtime/src/main/java/org/skylarkstack/request/CompletionRun.java
@@ -77,6 +77,8 @@
 	// Whether the engine of the current attempt has sent an event.
 	private boolean attemptStarted;
 
+	private long firstEventNanos;
+
 	private int attempts;
 
 	private long prefilledTokens;
@@ -131,7 +133,8 @@
 				this.cancellation.check(this.verdict);
 				if (this.sinkFailed || !this.components.retryPolicy()
 					.permits(ex, this.verdict, this.attempts, this.request.idempotent(), this.cursor.delivered(),
-							this.components.time().nanos())) {
+							this.components.time().nanos())
+						|| !hasTimeLeft()) {
 					throw ex.withEarlierVerdict(this.verdict);
 				}
 				this.components.counters().recordFurtherAttempt(this.cursor.delivered() > 0);
@@ -139,6 +142,20 @@
 		}
 	}
 
+	private long expectedNanos() {
+		return this.components.shutdownAdmission().durations().completionNanos(this.request, this.cursor.delivered());
+	}
+
+	private boolean hasTimeLeft() {
+		return this.components.shutdownAdmission()
+			.permits(this.request.model(), this::expectedNanos, this.verdict, this.components.time().nanos());
+	}
+
+	private void checkTimeLeft() {
+		this.components.shutdownAdmission()
+			.check(this.request.model(), this::expectedNanos, this.verdict, this.components.time().nanos());
+	}
+
 	private void attempt() {
 		this.cancellation.check(this.verdict);
 		this.failedEngine = "";
@@ -150,6 +167,7 @@
 		long usedBefore = usedTokens();
 		try {
 			this.cancellation.check(this.verdict);
+			checkTimeLeft();
 			runPlaced(placement, attemptId);
 		}
 		finally {
@@ -218,7 +236,9 @@
 				this.request.model(), this.team.id(), this.team.weight(), this.request.requestClass(),
 				this.request.promptTokens(), this.request.maxOutputTokens(), List.of(), wait, isolated);
 		Thread waiting = Thread.currentThread();
-		try (Cancellation.Registration registration = this.cancellation.onCancel(waiting::interrupt)) {
+		try (Cancellation.Registration registration = this.cancellation.onCancel(waiting::interrupt);
+				ShutdownAdmission.Waiting queued = this.components.shutdownAdmission()
+					.waiting(this.request.model(), this::expectedNanos, this.verdict, this.cancellation)) {
 			return this.components.placer().place(placementRequest);
 		}
 		catch (RouterException ex) {
@@ -233,6 +253,7 @@
 	}
 
 	private void runPlaced(Placement placement, String attemptId) {
+		long placedNanos = this.components.time().nanos();
 		EngineCall call = new EngineCall(attemptId, this.components.ids().owner(), this.request.path(),
 				this.request.engineBody(), this.cancellation);
 		HeldPrefill held = this.prefill;
@@ -240,6 +261,12 @@
 			held = prefill(placement.prefillEngineId(), call);
 		}
 		decode(placement.decodeEngineId(), call, held);
+		if (this.attempts == 1) {
+			this.components.shutdownAdmission()
+				.durations()
+				.recordCompletion(this.request, this.firstEventNanos - placedNanos,
+						this.components.time().nanos() - this.firstEventNanos, this.cursor.delivered());
+		}
 	}
 
 	private HeldPrefill prefill(String engineId, EngineCall call) {
@@ -297,6 +324,7 @@
 			this.prefill = null;
 			if (!this.attemptStarted) {
 				this.attemptStarted = true;
+				this.firstEventNanos = this.components.time().nanos();
 				this.components.crashReporter().recordStarted(this.sharedMessages, sentNanos);
 			}
 			this.cancellation.check(Verdict.MAY_HAVE_RUN);
--- a/runtime/src/main/java/org/skylarkstack/request/RequestComponents.java
+++ b/runtime/src/main/java/org/skylarkstack/request/RequestComponents.java
@@ -22,12 +22,13 @@
  * @param suspects the requests that crashed engines
  * @param suspectRunGrants grants the right to run a suspect once more
  * @param crashReporter shares crash suspects with the peers
+ * @param shutdownAdmission refuses work that a shutdown would end
  * @param counters the counters of the request path
  * @param time the time source
  */
 public record RequestComponents(String vmId, RequestIds ids, ConfigurationHolder configuration, TeamLimiter limiter,
 		Placer placer, EngineClient engines, EngineCanceller canceller, EngineQuarantine quarantine,
 		RetryBudget retryBudget, RetryPolicy retryPolicy, CrashSuspects suspects, SuspectRunGrants suspectRunGrants,
-		CrashReporter crashReporter, RequestCounters counters, TimeSource time) {
+		CrashReporter crashReporter, ShutdownAdmission shutdownAdmission, RequestCounters counters, TimeSource time) {
 
 }
--- a/runtime/src/main/java/org/skylarkstack/request/RequestPipeline.java
+++ b/runtime/src/main/java/org/skylarkstack/request/RequestPipeline.java
@@ -22,6 +22,17 @@
 		this.components = components;
 	}
 
+	/**
+	 * Refuses a request that is not expected to be complete before a shutdown ends it.
+	 * @param request the request, which has not run
+	 * @throws RouterException if the request is refused
+	 */
+	public void checkTimeLeft(CompletionRequest request) {
+		this.components.shutdownAdmission()
+			.check(request.model(), () -> this.components.shutdownAdmission().durations().completionNanos(request, 0),
+					Verdict.NOT_RUN, this.components.time().nanos());
+	}
+
 	/**
 	 * Runs a request and passes its response to the sink, event by event.
 	 * @param team the team whose tokens the request uses
--- a/runtime/src/main/java/org/skylarkstack/request/ServiceProxy.java
+++ b/runtime/src/main/java/org/skylarkstack/request/ServiceProxy.java
@@ -22,6 +22,7 @@
 import org.skylarkstack.configuration.BackendService;
 import org.skylarkstack.configuration.ConfigurationHolder;
 import org.skylarkstack.configuration.ObjectKind;
+import org.skylarkstack.configuration.Route;
 import org.skylarkstack.engine.BackendClients;
 import org.skylarkstack.engine.HeadTimeout;
 import org.skylarkstack.engine.SendTracker;
@@ -58,6 +59,8 @@
 
 	private final RetryPolicy retryPolicy;
 
+	private final ShutdownAdmission shutdownAdmission;
+
 	private final int idleMillis;
 
 	private final TimeSource time;
@@ -69,20 +72,43 @@
 	 * @param serverSelector picks backend servers
 	 * @param retryBudget counts the requests that its retry share is taken from
 	 * @param retryPolicy decides whether a failed attempt is followed by another
+	 * @param shutdownAdmission refuses work that a shutdown would end
 	 * @param idleMillis the idle timeout in milliseconds
 	 * @param time the time source
 	 */
 	public ServiceProxy(ConfigurationHolder configuration, BackendClients clients, BackendServerSelector serverSelector,
-			RetryBudget retryBudget, RetryPolicy retryPolicy, int idleMillis, TimeSource time) {
+			RetryBudget retryBudget, RetryPolicy retryPolicy, ShutdownAdmission shutdownAdmission, int idleMillis,
+			TimeSource time) {
 		this.configuration = configuration;
 		this.clients = clients;
 		this.serverSelector = serverSelector;
 		this.retryBudget = retryBudget;
 		this.retryPolicy = retryPolicy;
+		this.shutdownAdmission = shutdownAdmission;
 		this.idleMillis = idleMillis;
 		this.time = time;
 	}
 
+	/**
+	 * Refuses a request that is not expected to be complete before a shutdown ends it.
+	 * @param route the route of the request, which has not run
+	 * @param idempotent whether the request may run more than once
+	 * @throws RouterException if the request is refused
+	 */
+	public void checkTimeLeft(Route route, boolean idempotent) {
+		this.shutdownAdmission.check(route.id(), () -> expectedNanos(route, idempotent), Verdict.NOT_RUN,
+				this.time.nanos());
+	}
+
+	private long expectedNanos(Route route, boolean idempotent) {
+		return this.shutdownAdmission.durations().serviceNanos(route.id(), idempotent);
+	}
+
+	private boolean hasTimeLeft(ServiceRequest request, Verdict verdict) {
+		return this.shutdownAdmission.permits(request.route().id(),
+				() -> expectedNanos(request.route(), request.idempotent()), verdict, this.time.nanos());
+	}
+
 	/**
 	 * Forwards a request, with retries.
 	 * @param request the request
@@ -97,6 +123,7 @@
 		if (METHODS_WITHOUT_BODY.contains(request.method()) && request.body().length > 0) {
 			throw new RouterException(ErrorType.BAD_REQUEST, request.method() + " requests have no body");
 		}
+		checkTimeLeft(request.route(), request.idempotent());
 		this.retryBudget.recordRequest(this.time.nanos());
 		Set<String> tried = new HashSet<>();
 		Verdict verdict = Verdict.NOT_RUN;
@@ -108,8 +135,9 @@
 			}
 			catch (RouterException ex) {
 				verdict = verdict.combine(ex.verdict());
-				if (attempt.responseStarted || request.cancellation().reason() != null || !this.retryPolicy.permits(ex,
-						verdict, attempts, request.idempotent(), 0, this.time.nanos())) {
+				if (attempt.responseStarted || request.cancellation().reason() != null
+						|| !this.retryPolicy.permits(ex, verdict, attempts, request.idempotent(), 0, this.time.nanos())
+						|| !hasTimeLeft(request, verdict)) {
 					throw ex.withEarlierVerdict(verdict);
 				}
 				if (!hasUntried(request, tried)) {
@@ -177,8 +205,11 @@
 				.orElseThrow(() -> new RouterException(ErrorType.NO_ENGINE, this.request.route().serviceId()));
 			tried.add(server.url());
 			boolean failed = false;
+			long startNanos = ServiceProxy.this.time.nanos();
 			try {
 				send(server);
+				ServiceProxy.this.shutdownAdmission.durations()
+					.recordService(this.request.route().id(), ServiceProxy.this.time.nanos() - startNanos);
 			}
 			catch (RouterException ex) {
 				failed = this.request.cancellation().reason() == null && ex.type() != ErrorType.BAD_REQUEST;
--- a/runtime/src/main/java/org/skylarkstack/request/ShutdownSequence.java
+++ b/runtime/src/main/java/org/skylarkstack/request/ShutdownSequence.java
@@ -67,6 +67,19 @@
 		return this.phase;
 	}
 
+	/**
+	 * Returns the time until open requests are ended.
+	 * @param nowNanos the monotonic time in nanoseconds
+	 * @return the time in nanoseconds; {@link Long#MAX_VALUE} before the shutdown
+	 */
+	public synchronized long remainingNanos(long nowNanos) {
+		return switch (this.phase) {
+			case SERVING -> Long.MAX_VALUE;
+			case RELEASING, DRAINING -> Math.max(0, this.startNanos + this.releaseNanos + this.drainNanos - nowNanos);
+			case ENDING, STOPPED -> 0;
+		};
+	}
+
 	/**
 	 * Returns the current phase.
 	 * @return the phase
--- a/runtime/src/test/java/org/skylarkstack/http/CallerApiTests.java
+++ b/runtime/src/test/java/org/skylarkstack/http/CallerApiTests.java
@@ -34,6 +34,8 @@
 import org.skylarkstack.request.RetryBudget;
 import org.skylarkstack.request.RetryPolicy;
 import org.skylarkstack.request.ServiceProxy;
+import org.skylarkstack.request.ShutdownAdmission;
+import org.skylarkstack.request.ShutdownSequence;
 import org.skylarkstack.settings.CallerLimits;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -70,7 +72,8 @@
 				this.fixture.ids());
 		RetryBudget budget = new RetryBudget(time.nanos());
 		ServiceProxy proxy = new ServiceProxy(this.fixture.configuration(), new BackendClients(2_000),
-				new BackendServerSelector("dc"), budget, new RetryPolicy(budget), 2_000, time);
+				new BackendServerSelector("dc"), budget, new RetryPolicy(budget),
+				new ShutdownAdmission(new ShutdownSequence(0, 0, 0)), 2_000, time);
 		ServiceApi services = new ServiceApi(this.fixture.configuration(), authenticator, this.fixture.openRequests(),
 				this.disconnectMonitor, idempotencyKeyHandler, proxy, LIMITS, this.metrics, time);
 		CallerApi api = new CallerApi(this.fixture.configuration(), authenticator, this.fixture.pipeline(), services,
--- a/runtime/src/test/java/org/skylarkstack/request/RequestFixture.java
+++ b/runtime/src/test/java/org/skylarkstack/request/RequestFixture.java
@@ -65,6 +65,8 @@
 	final EngineCanceller canceller = new EngineCanceller(this.engines,
 			(id) -> this.configuration.current().find(EngineNode.class, ObjectKind.ENGINE, id), this.time);
 
+	final ShutdownSequence shutdown = new ShutdownSequence(2_000_000_000L, 3_000_000_000L, 1_000_000_000L);
+
 	final CrashReporter crashReporter;
 
 	final RequestPipeline pipeline;
@@ -89,7 +91,8 @@
 				this.time);
 		this.pipeline = new RequestPipeline(new RequestComponents(vmId, new RequestIds(vmId, 1), this.configuration,
 				this, this, this.engines, this.canceller, new EngineQuarantine(), budget, new RetryPolicy(budget),
-				this.suspects, new SuspectRunGrants(store, 600_000), this.crashReporter, this.counters, this.time));
+				this.suspects, new SuspectRunGrants(store, 600_000), this.crashReporter,
+				new ShutdownAdmission(this.shutdown), this.counters, this.time));
 		List<TicketChange> changes = new ArrayList<>();
 		changes.add(TicketChange.set(TEAM));
 		changes.add(TicketChange.set(new ApiKey("key", KEY_HASH, TEAM.id())));
--- a/runtime/src/test/java/org/skylarkstack/request/RequestPipelineTests.java
+++ b/runtime/src/test/java/org/skylarkstack/request/RequestPipelineTests.java
@@ -196,6 +196,34 @@
 		assertThat(failure().type()).isEqualTo(ErrorType.SHUT_DOWN);
 	}
 
+	private void shutDownSoon() {
+		this.fixture.shutdown.begin(this.fixture.time.nanos());
+		this.fixture.time.advanceMillis(4_900);
+	}
+
+	// Guards against work on a request that leaves the queue too late to be complete
+	// before a shutdown ends it.
+	@Test
+	void requestThatIsPlacedTooLateIsNotRun() {
+		this.fixture.onPlace = this::shutDownSoon;
+		RouterException failure = failure();
+		assertThat(failure.type()).isEqualTo(ErrorType.NOT_READY);
+		assertThat(failure.verdict()).isEqualTo(Verdict.NOT_RUN);
+		assertThat(this.engines.prefillsAndDecodes()).isEmpty();
+	}
+
+	// Guards against a resume that a shutdown would end, and against a verdict that
+	// denies the first attempt.
+	@Test
+	void brokenStreamIsNotResumedTooLate() {
+		this.engines.decodeFaults.add(new DecodeFault(2, () -> {
+			shutDownSoon();
+			throw FakeEngineClient.brokenConnection("d1");
+		}));
+		assertThat(failure().verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+		assertThat(this.engines.prefillsAndDecodes()).hasSize(2);
+	}
+
 	// Guards against a request that crashes one engine after the other when its caller
 	// sends it again.
 	@Test
--- a/runtime/src/test/java/org/skylarkstack/request/ServiceProxyTests.java
+++ b/runtime/src/test/java/org/skylarkstack/request/ServiceProxyTests.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Set;
 
+import mockwebserver3.Dispatcher;
 import mockwebserver3.MockResponse;
 import mockwebserver3.MockWebServer;
 import mockwebserver3.RecordedRequest;
@@ -45,8 +46,11 @@
 
 	private final BackendServerSelector serverSelector = new BackendServerSelector("dc");
 
+	private final ShutdownSequence shutdown = new ShutdownSequence(2_000_000_000L, 3_000_000_000L, 1_000_000_000L);
+
 	private final ServiceProxy proxy = new ServiceProxy(this.configuration, new BackendClients(2_000),
-			this.serverSelector, this.budget, new RetryPolicy(this.budget), 2_000, this.time);
+			this.serverSelector, this.budget, new RetryPolicy(this.budget), new ShutdownAdmission(this.shutdown), 2_000,
+			this.time);
 
 	private final FakeTableStore store = new FakeTableStore();
 
@@ -191,6 +195,24 @@
 		assertThat(this.second.getRequestCount()).isEqualTo(0);
 	}
 
+	// Guards against a retry that a shutdown would end.
+	@Test
+	void retryThatCannotBeCompleteInTimeIsNotSent() {
+		this.shutdown.begin(this.time.nanos());
+		this.first.setDispatcher(new Dispatcher() {
+			@Override
+			public MockResponse dispatch(RecordedRequest request) {
+				ServiceProxyTests.this.time.advanceMillis(4_500);
+				return new MockResponse.Builder().onResponseStart(new SocketEffect.CloseSocket()).build();
+			}
+		});
+		RouterException failure = Exceptions.assertThrows(RouterException.class, () -> run("GET", true));
+		assertThat(failure.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+		assertThat(this.second.getRequestCount()).isEqualTo(0);
+		assertThat(Exceptions.assertThrows(RouterException.class, () -> run("GET", true)).verdict())
+			.isEqualTo(Verdict.NOT_RUN);
+	}
+
 	// Guards against new requests on a server that is leaving.
 	@Test
 	void leavingServersGetNoRequests() {
