Test requests that have not begun when a shutdown ends

Two questions about the end of the drain that had no test: requests that wait for the store to claim their idempotency key, and a request that was sent behind a stream on the same connection. Both are refused as not run now, and the key can be used again on another VM.

--- a/bench/src/test/java/org/skylarkstack/fleet/ShutdownTests.java
+++ b/bench/src/test/java/org/skylarkstack/fleet/ShutdownTests.java
@@ -175,6 +175,31 @@
 			.isEqualTo("may-have-run");
 	}
 
+	// Guards against requests that are closed without a response because a slow store
+	// holds them up, or because they were sent behind another request.
+	@Test
+	void requestsThatHaveNotBegunAtTheEndOfTheDrainAreRefused() throws Exception {
+		start(100, 600, 20);
+		send("pipelined", completion(true, 5_000, "") + request("POST /bookings", "{}", "Connection: close"));
+		await(() -> fleet().engine("decode").load().running() == 1);
+		fleet().platform().faults().delayMillis(600);
+		for (int index = 0; index < 4; index++) {
+			send("claim " + index, request("POST /bookings", "{}", "Idempotency-Key: visit-" + index));
+		}
+		Thread.sleep(50);
+		stopDaemon();
+		for (int index = 0; index < 4; index++) {
+			assertFailed("claim " + index, 503, NOT_RUN);
+		}
+		assertThat(response("pipelined")).contains("SHUT_DOWN");
+		String last = response("pipelined").substring(response("pipelined").lastIndexOf("HTTP/1.1 "));
+		assertThat(last).startsWith("HTTP/1.1 503");
+		assertThat(last).contains(NOT_RUN);
+		assertThat(fleet().servers("records").get(0).requests()).isEmpty();
+		fleet().platform().faults().delayMillis(0);
+		assertThat(client().send(client().service("vm-2", KEY, "/bookings", "{}", "visit-0")).status()).isEqualTo(201);
+	}
+
 	// Guards against requests that are accepted late and cut off at the end of the drain
 	// because they never had enough time.
 	@Test
