Test that VMs which all stop at once still accept requests

Guards the other side of the refusals: with 2.5 to 4 s left on each of two VMs that stop at the same time, streams and bookings are answered.

--- a/bench/src/test/java/org/skylarkstack/fleet/ShutdownTests.java
+++ b/bench/src/test/java/org/skylarkstack/fleet/ShutdownTests.java
@@ -232,6 +232,24 @@
 		assertThat(client().send(client().service("vm-2", KEY, "/bookings", "{}", "visit-2")).status()).isEqualTo(201);
 	}
 
+	// Guards against callers that find no VM although those that stop have time left.
+	@Test
+	void requestsAreAcceptedWhileAllVmsStop() throws Exception {
+		start(3_000, 1_000, 20);
+		CompletableFuture<Void> other = CompletableFuture.runAsync(() -> fleet().stopDaemon("vm-2"));
+		stopDaemon();
+		for (int index = 0; index < 5; index++) {
+			Thread.sleep(200);
+			send("stream " + index, completion(true, 5, ""));
+			send("booking " + index, request("POST /bookings", "{}"));
+		}
+		for (int index = 0; index < 5; index++) {
+			assertThat(response("stream " + index)).contains("[DONE]");
+			assertThat(response("booking " + index)).startsWith("HTTP/1.1 201");
+		}
+		other.join();
+	}
+
 	// Guards against callers that send their next request on a connection that is about
 	// to be closed.
 	@Test
