End the identifier of an event at a carriage return

The identifier of the last event is sent in a header when a stream is resumed. A carriage return ends a line of an event stream, but was kept as part of the identifier, so that an engine could add a header to the request to the next engine. Found while looking for other values of engines in headers.

anIdentifierEndsAtACarriageReturn read "5\rX-Other: x" before.

--- a/gateway/src/main/java/org/skylarkstack/gateway/EventBuffer.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/EventBuffer.java
@@ -67,7 +67,7 @@
 	}
 
 	private void readIds(String completeEvents) {
-		for (String line : completeEvents.split("\r?\n")) {
+		for (String line : completeEvents.split("\r\n|[\r\n]")) {
 			if (line.startsWith(ID)) {
 				this.lastEventId = line.substring(ID.length()).trim();
 				this.eventCount++;
--- a/gateway/src/test/java/org/skylarkstack/gateway/EventBufferTests.java
+++ b/gateway/src/test/java/org/skylarkstack/gateway/EventBufferTests.java
@@ -57,4 +57,15 @@
 		assertThat(this.buffer.lastEventId()).isEqualTo("7");
 	}
 
+	/**
+	 * Guards against an identifier that adds a header to the request that resumes the
+	 * stream.
+	 */
+	@Test
+	void anIdentifierEndsAtACarriageReturn() {
+		EventBuffer buffer = new EventBuffer();
+		buffer.append("id: 5\rX-Other: x\ndata: y\n\n".getBytes(StandardCharsets.UTF_8));
+		assertThat(buffer.lastEventId()).isEqualTo("5");
+	}
+
 }
