Bound the amounts in usage reports

Any process can send a datagram. One with amounts near 2^63 made sums overflow: a full engine seemed empty, and a team seemed to have returned what it used.

amountsAreBounded failed before. Ruled out by tests that passed before: lengths of 2^31 - 1 in headers of strings, arrays and maps are rejected without allocating or looping, and 20,000 mutated reports neither threw nor took 1 s.

--- a/gateway/src/main/java/org/skylarkstack/peers/UsageCodec.java
+++ b/gateway/src/main/java/org/skylarkstack/peers/UsageCodec.java
@@ -20,6 +20,8 @@
 
 	private static final int FORMAT_VERSION = 2;
 
+	private static final long MAX_AMOUNT = 1L << 40;
+
 	private UsageCodec() {
 	}
 
@@ -107,11 +109,20 @@
 		return reports;
 	}
 
+	// Sums and differences of amounts must not overflow, whatever a sender states.
+	private static long unpackAmount(MessageUnpacker unpacker) throws IOException {
+		return Math.max(-MAX_AMOUNT, Math.min(MAX_AMOUNT, unpacker.unpackLong()));
+	}
+
+	private static long unpackTokens(MessageUnpacker unpacker) throws IOException {
+		return Math.max(0, unpackAmount(unpacker));
+	}
+
 	private static Map<String, Long> unpackUnits(MessageUnpacker unpacker) throws IOException {
 		int size = unpacker.unpackMapHeader();
 		Map<String, Long> values = new HashMap<>();
 		for (int entry = 0; entry < size; entry++) {
-			values.put(unpacker.unpackString(), unpacker.unpackLong());
+			values.put(unpacker.unpackString(), unpackAmount(unpacker));
 		}
 		return values;
 	}
@@ -149,7 +160,7 @@
 			int count = unpacker.unpackArrayHeader();
 			List<RequestMemory> list = new ArrayList<>();
 			for (int request = 0; request < count; request++) {
-				list.add(new RequestMemory(unpacker.unpackLong(), unpacker.unpackLong()));
+				list.add(new RequestMemory(unpackTokens(unpacker), unpackTokens(unpacker)));
 			}
 			memoryByEngine.put(engine, list);
 		}
