Keep each logged value on its line

Only line feeds were replaced. A carriage return, NEL, line separator or escape sequence in a key of another writer or in a caller's header could start a line or change the terminal of an operator.

--- a/gateway/src/main/java/org/skylarkstack/logs/BoundedAppender.java
+++ b/gateway/src/main/java/org/skylarkstack/logs/BoundedAppender.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.regex.Pattern;
 
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.classic.spi.IThrowableProxy;
@@ -22,6 +23,9 @@
 
 	private static final int MAX_QUEUED_LINES = 2_048;
 
+	// Identifiers in the log come from other processes and must not start a line.
+	private static final Pattern LINE_BREAKERS = Pattern.compile("[\\p{Cc}\\p{Zl}\\p{Zp}]");
+
 	// Lines logged within this time are written together.
 	private static final long BATCH_DELAY_MILLIS = 100;
 
@@ -74,12 +78,12 @@
 
 	private static void appendPair(StringBuilder line, String key, String value) {
 		line.append(' ').append(key).append('=');
-		boolean plain = !value.isEmpty() && value.chars().allMatch((c) -> c > ' ' && c != '"' && c != '=');
+		boolean plain = !value.isEmpty() && value.chars().allMatch((c) -> c > ' ' && c < 0x7f && c != '"' && c != '=');
 		if (plain) {
 			line.append(value);
 		}
 		else {
-			line.append('"').append(value.replace("\"", "'").replace('\n', ' ')).append('"');
+			line.append('"').append(LINE_BREAKERS.matcher(value.replace('"', '\'')).replaceAll(" ")).append('"');
 		}
 	}
 
--- /dev/null
+++ b/gateway/src/test/java/org/skylarkstack/logs/BoundedAppenderTests.java
@@ -0,0 +1,40 @@
+package org.skylarkstack.logs;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.LoggerContext;
+import ch.qos.logback.classic.spi.LoggingEvent;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.slf4j.event.KeyValuePair;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests of {@link BoundedAppender}.
+ */
+class BoundedAppenderTests {
+
+	/**
+	 * Guards against an identifier of another process that adds a line or a field to the
+	 * log.
+	 */
+	@ParameterizedTest
+	@ValueSource(strings = { "a\nevent=x", "a\revent=x", "a\u0085event=x", "a\u2028event=x", "a\" event=\"x",
+			"a\u001b[2J", "a event=x" })
+	void aValueStaysWithinItsField(String value) {
+		ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+		BoundedAppender appender = new BoundedAppender(new PrintStream(bytes, true, StandardCharsets.UTF_8));
+		LoggingEvent event = new LoggingEvent("", new LoggerContext().getLogger("test"), Level.INFO, "", null,
+				new Object[0]);
+		event.addKeyValuePair(new KeyValuePair("server", value));
+		appender.append(event);
+		appender.stop();
+		String text = bytes.toString(StandardCharsets.UTF_8);
+		assertThat(text).matches("time=\\S+ level=INFO server=\"[^\\p{Cc}\\p{Zl}\\p{Zp}\"]*\"\n");
+	}
+
+}
--- /dev/null
+++ b/gateway/src/test/java/org/skylarkstack/logs/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Tests of the log.
+ */
+@NullMarked
+package org.skylarkstack.logs;
+
+import org.jspecify.annotations.NullMarked;
