--- a/runtime/src/main/java/org/skylarkstack/engine/HttpEngineClient.java
+++ b/runtime/src/main/java/org/skylarkstack/engine/HttpEngineClient.java
@@ -93,7 +93,7 @@
 				throw RouterException.of(ErrorType.BACKEND_FAILED, Verdict.MAY_HAVE_RUN, null, engine.id(),
 						"the prefill answer has no kv_transfer_params");
 			}
-			return new PrefillResult(parameters, responseBody.path("usage").path("prompt_tokens").asInt());
+			return new PrefillResult(parameters, count(responseBody.path("usage").path("prompt_tokens")));
 		}
 		catch (IOException ex) {
 			throw exchange.failure(ex);
@@ -148,11 +148,17 @@
 		List<HeldRequest> held = new ArrayList<>();
 		for (JsonNode item : list) {
 			held.add(new HeldRequest(item.path("request_id").asText(), item.path("owner").asText(),
-					item.path("kind").asText(), item.path("pieces").asInt(), item.path("idle_millis").asLong()));
+					item.path("kind").asText(), count(item.path("pieces")),
+					(long) item.path("idle_millis").asDouble()));
 		}
 		return held;
 	}
 
+	// A number that is out of range counts as missing rather than being truncated.
+	private static int count(JsonNode number) {
+		return (number.isIntegralNumber() && number.canConvertToInt()) ? Math.max(0, number.intValue()) : 0;
+	}
+
 	@Override
 	public EngineLoad load(EngineNode engine) {
 		Request request = new Request.Builder().url(engine.url() + "/metrics").build();
--- a/runtime/src/test/java/org/skylarkstack/engine/HttpEngineClientTests.java
+++ b/runtime/src/test/java/org/skylarkstack/engine/HttpEngineClientTests.java
@@ -111,6 +111,20 @@
 		assertThat(this.client.crossedResponses()).isEqualTo(1);
 	}
 
+	// Guards against a number of an engine that is truncated to another one.
+	@Test
+	void numbersOutOfRangeAreNotTruncated() {
+		this.server
+			.enqueue(response().body("{\"kv_transfer_params\":{},\"usage\":{\"prompt_tokens\":4294967303}}").build());
+		assertThat(this.client.prefill(engine(), call()).promptTokens()).isEqualTo(0);
+		this.server.enqueue(response()
+			.body("[{\"request_id\":\"r\",\"owner\":\"o\",\"pieces\":4294967297,\"idle_millis\":9223372036854775808}]")
+			.build());
+		HeldRequest held = this.client.held(engine()).get(0);
+		assertThat(held.pieces()).isEqualTo(0);
+		assertThat(held.idleMillis()).isEqualTo(Long.MAX_VALUE);
+	}
+
 	// Guards against taking a truncated stream for a complete one.
 	@Test
 	void truncatedStreamIsAFailure() {
