Treat a VM list with null as a failed read, and bound it

"null" or a null entry threw NullPointerException, which ended the thread that reads the list; a list without end filled the heap until the timeout of the call.

aResponseThatIsNoListIsAFailedRead failed before.

--- a/runtime/src/main/java/org/skylarkstack/membership/HttpPlatformVmList.java
+++ b/runtime/src/main/java/org/skylarkstack/membership/HttpPlatformVmList.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.List;
+import java.util.Objects;
 
 import com.fasterxml.jackson.core.type.TypeReference;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -18,6 +19,8 @@
  */
 public final class HttpPlatformVmList implements PlatformVmList {
 
+	private static final long MAX_BYTES = 1024 * 1024;
+
 	private final ObjectMapper mapper = new ObjectMapper();
 
 	private final OkHttpClient client;
@@ -39,8 +42,15 @@
 			if (!response.isSuccessful()) {
 				throw new IOException("status %d".formatted(response.code()));
 			}
-			return List.copyOf(this.mapper.readValue(response.body().bytes(), new TypeReference<List<String>>() {
-			}));
+			if (response.body().source().request(MAX_BYTES + 1)) {
+				throw new IOException("the list is larger than %d bytes".formatted(MAX_BYTES));
+			}
+			List<String> vmIds = this.mapper.readValue(response.body().bytes(), new TypeReference<List<String>>() {
+			});
+			if (vmIds == null || vmIds.stream().anyMatch(Objects::isNull)) {
+				throw new IOException("the list contains null");
+			}
+			return List.copyOf(vmIds);
 		}
 		catch (IOException ex) {
 			throw new StoreException(WriteEffect.NOT_APPLIED, "the list of VMs cannot be read", ex);
