Reject every malformed peer message in the codec

The MessagePack parser throws unchecked exceptions for truncated and mutated messages. The transport contained them only around a whole round: the other connections went unserved in it, and the buffer of the connection was left misaligned. Senders need the shared secret, so this needs a peer with a fault or of another version.

everyMessageIsDecodedOrRejected failed with MessageInsufficientBufferException before, and with a NullPointerException of the parser when only the library's own exceptions were caught.

--- a/runtime/src/main/java/org/skylarkstack/peer/PeerCodec.java
+++ b/runtime/src/main/java/org/skylarkstack/peer/PeerCodec.java
@@ -100,7 +100,8 @@
 			}
 			return message;
 		}
-		catch (IOException ex) {
+		catch (IOException | RuntimeException ex) {
+			// The parser of MessagePack throws various unchecked exceptions.
 			throw new IllegalArgumentException("message number %d is malformed".formatted(number), ex);
 		}
 	}
