--- a/runtime/src/main/java/org/skylarkstack/configuration/SnapshotCodec.java
+++ b/runtime/src/main/java/org/skylarkstack/configuration/SnapshotCodec.java
@@ -48,13 +48,13 @@
 	 * Reads a snapshot.
 	 * @param bytes the compressed snapshot
 	 * @return the configuration
-	 * @throws IOException if the snapshot is damaged or of an unknown version
+	 * @throws IOException if the snapshot is damaged, incomplete or of an unknown version
 	 */
 	Configuration read(byte[] bytes) throws IOException {
 		try (InputStream compressed = new GZIPInputStream(new ByteArrayInputStream(bytes))) {
 			Body body = this.mapper.readValue(compressed, Body.class);
-			if (body.version() != VERSION) {
-				throw new IOException("snapshot version %d is unknown".formatted(body.version()));
+			if (body == null || body.version() != VERSION) {
+				throw new IOException("the snapshot has no version that is known");
 			}
 			Map<ObjectKey, VersionedObject> objects = new HashMap<>();
 			body.entries()
@@ -62,6 +62,10 @@
 						(entry) -> objects.put(entry.key(), new VersionedObject(entry.ticketNumber(), entry.object())));
 			return Configuration.of(body.appliedNumber(), body.aheadNumbers(), objects);
 		}
+		catch (RuntimeException ex) {
+			// Missing fields are null, which the types of the configuration do not allow.
+			throw new IOException("the snapshot is incomplete", ex);
+		}
 	}
 
 	private record Body(int version, long appliedNumber, List<Long> aheadNumbers, List<Entry> entries) {
