Keep a duty alive after a stack overflow

A message or step that overflowed the stack ended the thread, and with it membership, limits or tickets of the VM until a restart. No message is known that does this.

aMessageThatOverflowsTheStackDoesNotEndTheThread got no later message within 10 s before.

--- a/kernel/src/main/java/org/skylarkstack/kernel/Duty.java
+++ b/kernel/src/main/java/org/skylarkstack/kernel/Duty.java
@@ -116,7 +116,7 @@
 		try {
 			action.run();
 		}
-		catch (RuntimeException ex) {
+		catch (RuntimeException | StackOverflowError ex) {
 			LOG.atError()
 				.addKeyValue("event", "duty_failed")
 				.addKeyValue("duty", this.thread.getName())
