Record tickets again that a restored table service has lost

When the platform restored the table service from an older copy, operators got an internal error for every further ticket, because the head of the log stayed below the number that the daemons had applied. A daemon that started afterwards took the old head for the newest: it accepted withdrawn keys, and it gave out the lost numbers a second time. From then on one number had two contents; each daemon kept the one that it had applied first, so that an accepted ticket was not in force on the others, without a message.

Cause: the log relied on a head that only increases. Nothing compared what a daemon had applied with what the store holds.

Ruled out: daemons never reverted. Merging keeps the lost state on the daemons that had it, and they pass it to their peers.

Each daemon now reads the head after its applied number at each poll and before each submission. A lower head proves a restore; the daemon records the missing tickets under their own numbers, conditional on the head.

--- a/runtime/src/main/java/org/skylarkstack/configuration/ConfigurationDuty.java
+++ b/runtime/src/main/java/org/skylarkstack/configuration/ConfigurationDuty.java
@@ -136,6 +136,7 @@
 			readSnapshot();
 			long head = this.log.catchUp();
 			this.freshness.observe(head, nowNanos);
+			this.log.recover(nowNanos);
 		}
 		catch (StoreException ex) {
 			LOG.atWarn().addKeyValue("event", "ticket_poll_failed").addKeyValue("reason", ex.getMessage()).log();
--- a/runtime/src/main/java/org/skylarkstack/configuration/ConfigurationHolder.java
+++ b/runtime/src/main/java/org/skylarkstack/configuration/ConfigurationHolder.java
@@ -6,12 +6,14 @@
 import java.util.function.UnaryOperator;
 
 /**
- * Holds the current configuration of this process.
+ * Holds the current configuration of this process and the tickets that it applied last.
  */
 public final class ConfigurationHolder {
 
 	private final List<Consumer<Configuration>> listeners = new CopyOnWriteArrayList<>();
 
+	private final RecentTickets recentTickets = new RecentTickets();
+
 	private volatile Configuration current = Configuration.EMPTY;
 
 	/**
@@ -22,6 +24,10 @@
 		return this.current;
 	}
 
+	RecentTickets recentTickets() {
+		return this.recentTickets;
+	}
+
 	/**
 	 * Replaces the configuration and notifies the listeners if it has changed.
 	 * @param change computes the new configuration from the old one; may only merge into
--- a/runtime/src/main/java/org/skylarkstack/configuration/TicketLog.java
+++ b/runtime/src/main/java/org/skylarkstack/configuration/TicketLog.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
@@ -11,8 +10,6 @@
 import org.skylarkstack.kernel.ErrorType;
 import org.skylarkstack.kernel.RouterException;
 import org.skylarkstack.store.Row;
-import org.skylarkstack.store.RowCondition;
-import org.skylarkstack.store.RowWrite;
 import org.skylarkstack.store.StoreException;
 import org.skylarkstack.store.TableStore;
 import org.skylarkstack.store.WriteEffect;
@@ -33,20 +30,12 @@
  * <li>This class leaves an empty configuration holder empty until it has read the log to
  * its end once. A daemon therefore never serves with an old configuration in which
  * withdrawn keys still work.</li>
+ * <li>After the platform restored the store from an older copy, the tickets that are in
+ * force on this daemon stay in force and are recorded again.</li>
  * </ul>
  */
 public final class TicketLog implements TicketService {
 
-	private static final String HEAD_PARTITION = "ticket-head";
-
-	private static final String HEAD_SORT_KEY = "head";
-
-	private static final String TICKET_PARTITION = "ticket";
-
-	private static final String NUMBER = "number";
-
-	private static final String BODY = "body";
-
 	private static final int PAGE_ROWS = 1_000;
 
 	/**
@@ -67,6 +56,8 @@
 
 	private final ConfigurationHolder configuration;
 
+	private final TicketLogRecovery recovery;
+
 	private Configuration unpublished = Configuration.EMPTY;
 
 	/**
@@ -77,6 +68,7 @@
 	public TicketLog(TableStore store, ConfigurationHolder configuration) {
 		this.store = store;
 		this.configuration = configuration;
+		this.recovery = new TicketLogRecovery(store, configuration);
 	}
 
 	/**
@@ -90,7 +82,7 @@
 
 	@Override
 	public Ticket submit(TicketDraft draft) {
-		translateStoreException(this::catchUp);
+		translateStoreException(this::catchUpAndRecover);
 		Configuration before = this.configuration.current();
 		if (draft.number() > 0 && draft.number() <= before.appliedNumber()) {
 			return translateStoreException(() -> recordedOrConflict(draft));
@@ -106,6 +98,7 @@
 			throw new RouterException(ErrorType.TICKET_INVALID, draft.number(), String.join("; ", problems));
 		}
 		Ticket recorded = record(draft, body);
+		this.configuration.recentTickets().add(recorded.number(), body);
 		this.configuration.update((current) -> current.apply(recorded));
 		this.listeners.forEach((listener) -> listener.accept(List.of(recorded)));
 		return recorded;
@@ -124,10 +117,15 @@
 				if (write(draft.number(), body)) {
 					return draft.ticket();
 				}
-				// The head only increases, so a failed condition means that the number is
-				// taken.
+				boolean earlierMayBeApplied = mayBeApplied;
 				mayBeApplied = true;
-				return recordedOrConflict(draft);
+				if (row(draft.number()).isPresent()) {
+					return recordedOrConflict(draft);
+				}
+				// The number is free, so the head is behind: the store was restored from
+				// an older copy after the log was read.
+				mayBeApplied = earlierMayBeApplied;
+				recover();
 			}
 			catch (StoreException ex) {
 				mayBeApplied |= ex.effect() == WriteEffect.UNKNOWN;
@@ -141,11 +139,7 @@
 	}
 
 	private boolean write(long number, String body) {
-		Row head = new Row(HEAD_PARTITION, HEAD_SORT_KEY, Map.of(NUMBER, Long.toString(number)));
-		RowCondition advance = (number == 1) ? RowCondition.ABSENT
-				: RowCondition.attributeEquals(NUMBER, Long.toString(number - 1));
-		Row row = new Row(TICKET_PARTITION, sortKey(number), Map.of(BODY, body));
-		return this.store.write(List.of(RowWrite.put(head, advance), RowWrite.put(row, RowCondition.ABSENT)));
+		return this.store.write(List.of(TicketRows.advanceHead(number - 1, number), TicketRows.insert(number, body)));
 	}
 
 	private boolean isRecorded(long number) {
@@ -158,8 +152,7 @@
 	}
 
 	private Ticket recordedOrConflict(TicketDraft draft) {
-		Ticket stored = row(draft.number())
-			.orElseThrow(() -> new IllegalStateException("ticket %d is missing".formatted(draft.number())));
+		Ticket stored = row(draft.number()).orElseThrow(() -> new RouterException(ErrorType.STORE_UNAVAILABLE));
 		if (!draft.problems().isEmpty() || !contentHash(stored).equals(contentHash(draft.ticket()))) {
 			throw new RouterException(ErrorType.TICKET_CONFLICT, draft.number(),
 					"number %d was taken by %s".formatted(stored.number(), stored.author()));
@@ -168,7 +161,7 @@
 	}
 
 	private Optional<Ticket> row(long number) {
-		return this.store.get(TICKET_PARTITION, sortKey(number)).map(this::read);
+		return TicketRows.readTicket(this.store, number).map(this::read);
 	}
 
 	@Override
@@ -178,10 +171,7 @@
 
 	@Override
 	public List<Ticket> history(long afterNumber, int limit) {
-		return translateStoreException(() -> this.store.query(TICKET_PARTITION, sortKey(afterNumber), limit)
-			.stream()
-			.map(this::read)
-			.toList());
+		return translateStoreException(() -> readAfter(afterNumber, limit).stream().map(this::read).toList());
 	}
 
 	private static <T> T translateStoreException(Supplier<T> action) {
@@ -209,8 +199,8 @@
 
 	/**
 	 * Reads and applies all recorded tickets that this daemon has not applied yet.
-	 * @return the applied number; it was the number of the last recorded ticket at some
-	 * time during this call
+	 * @return the applied number; all tickets that were recorded at some time during this
+	 * call have been applied
 	 * @throws StoreException if the store does not respond
 	 */
 	public synchronized long catchUp() {
@@ -231,25 +221,59 @@
 		return this.configuration.current().appliedNumber();
 	}
 
+	/**
+	 * Records the tickets again that are in force on this daemon and that the store has
+	 * lost, and reads the log again if any were recorded.
+	 * @param nowNanos the current monotonic time in nanoseconds
+	 * @throws StoreException if the store does not respond
+	 */
+	public synchronized void recover(long nowNanos) {
+		if (this.recovery.step(nowNanos)) {
+			catchUp();
+		}
+	}
+
+	private synchronized long catchUpAndRecover() {
+		catchUp();
+		recover();
+		return this.configuration.current().appliedNumber();
+	}
+
+	private synchronized void recover() {
+		if (this.recovery.recover(false)) {
+			catchUp();
+		}
+	}
+
+	/**
+	 * Returns the number of tickets that were in force on this daemon when it found that
+	 * the store had lost them.
+	 * @return the count since start
+	 */
+	public long lostTickets() {
+		return this.recovery.lostTickets();
+	}
+
 	private void readToEnd() {
 		List<Ticket> batch = new ArrayList<>();
 		long characters = 0;
 		long last = this.unpublished.appliedNumber();
-		List<Row> rows = this.store.query(TICKET_PARTITION, sortKey(last), PAGE_ROWS);
+		List<Row> rows = readAfter(last, PAGE_ROWS);
 		try {
 			while (!rows.isEmpty()) {
 				for (Row row : rows) {
 					Ticket ticket = read(row);
 					batch.add(ticket);
 					last = ticket.number();
-					characters += row.attributes().getOrDefault(BODY, "").length();
+					this.configuration.recentTickets().add(last, TicketRows.body(row));
+					characters += TicketRows.body(row).length();
 				}
 				if (characters >= BATCH_CHARACTERS) {
 					merge(batch);
 					batch.clear();
 					characters = 0;
 				}
-				rows = this.store.query(TICKET_PARTITION, sortKey(last), PAGE_ROWS);
+				rows = readAfter(last, PAGE_ROWS);
 			}
 		}
 		finally {
@@ -267,12 +291,12 @@
 		}
 	}
 
-	private static String sortKey(long number) {
-		return "%019d".formatted(number);
+	private List<Row> readAfter(long number, int limit) {
+		return this.store.query(TicketRows.TICKET_PARTITION, TicketRows.sortKey(number), limit);
 	}
 
 	private Ticket read(Row row) {
-		return this.codec.read(row.attributes().getOrDefault(BODY, ""));
+		return this.codec.read(TicketRows.body(row));
 	}
 
 }
--- a/runtime/src/main/java/org/skylarkstack/configuration/TicketSync.java
+++ b/runtime/src/main/java/org/skylarkstack/configuration/TicketSync.java
@@ -98,10 +98,10 @@
 
 	private final SnapshotCodec snapshots = new SnapshotCodec();
 
-	private final RecentTickets recent = new RecentTickets();
-
 	private final SnapshotAssembler assembler = new SnapshotAssembler();
 
+	private final RecentTickets recent;
+
 	private final Map<Long, Long> openPulls = new LinkedHashMap<>();
 
 	private final Map<String, Long> lastPullNanos = new HashMap<>();
@@ -133,6 +133,7 @@
 	public TicketSync(ConfigurationHolder configuration, KeyFreshness freshness, Membership membership,
 			PeerTransport transport, RandomGenerator random) {
 		this.configuration = configuration;
+		this.recent = configuration.recentTickets();
 		this.freshness = freshness;
 		this.membership = membership;
 		this.transport = transport;
--- a/runtime/src/test/java/org/skylarkstack/configuration/FakeTableStore.java
+++ b/runtime/src/test/java/org/skylarkstack/configuration/FakeTableStore.java
@@ -46,6 +46,16 @@
 		this.delayedWrites.clear();
 	}
 
+	synchronized Map<String, Row> copy() {
+		return Map.copyOf(this.rows);
+	}
+
+	/** Replaces all rows by those of an earlier copy. */
+	synchronized void restore(Map<String, Row> copy) {
+		this.rows.clear();
+		this.rows.putAll(copy);
+	}
+
 	@Override
 	public synchronized Optional<Row> get(String partition, String sort) {
 		countCall();
