Let a starting daemon wait for its peers before it trusts the store

A daemon that started while the table service held an older copy put it into force at once. It accepted withdrawn keys until the first heartbeat of a peer named a higher number, up to 1 s at 7 VMs and 6 s at 350, and longer if the pull failed.

Cause: the log counted as current once it had been read to its end. Only the running daemons know the tickets that the store has lost, and a starting daemon did not wait for one.

The first configuration from the store now comes into force once half of the peers have reported their applied numbers and none is higher, at the latest after three heartbeat periods; where a peer has reported a higher number, once its tickets have arrived, at the latest after ten periods. The price is a longer start where the store answers; it was not measured.

TicketSyncTests.startAfterARestoreWaitsForThePeers on the former code: the restarted daemon was at ticket 1 after its first poll, where 0 was expected.

--- a/daemon/src/main/java/org/skylarkstack/daemon/PlatformModule.java
+++ b/daemon/src/main/java/org/skylarkstack/daemon/PlatformModule.java
@@ -10,9 +10,11 @@
 import org.skylarkstack.configuration.ConfigurationHolder;
 import org.skylarkstack.configuration.KeyFreshness;
 import org.skylarkstack.configuration.SnapshotKeeper;
+import org.skylarkstack.configuration.StartBarrier;
 import org.skylarkstack.configuration.TicketLog;
 import org.skylarkstack.configuration.TicketSync;
 import org.skylarkstack.membership.Membership;
+import org.skylarkstack.membership.MembershipTiming;
 import org.skylarkstack.misc.TimeSource;
 import org.skylarkstack.peer.PeerTransport;
 import org.skylarkstack.settings.DaemonSettings;
@@ -82,8 +84,11 @@
 			ConfigurationHolder configuration, KeyFreshness freshness, AcknowledgementTable acknowledgements,
 			Membership membership, PeerTransport transport, TimeSource time) {
 		TicketSync sync = new TicketSync(configuration, freshness, membership, transport, new SplittableRandom());
+		int peers = settings.peers().size();
+		StartBarrier startBarrier = new StartBarrier(peers, MembershipTiming.DEFAULT.periodNanos(peers + 1),
+				time.nanos());
 		return new ConfigurationDuty(settings.vmId(), tickets, new SnapshotKeeper(objects, configuration, membership),
-				freshness, configuration, acknowledgements, sync, time, new SplittableRandom());
+				freshness, configuration, acknowledgements, sync, startBarrier, time, new SplittableRandom());
 	}
 
 }
--- a/runtime/src/main/java/org/skylarkstack/configuration/ConfigurationDuty.java
+++ b/runtime/src/main/java/org/skylarkstack/configuration/ConfigurationDuty.java
@@ -33,6 +33,9 @@
 	/** Capacity of the message queue; small because a message may take up to 1 MiB. */
 	private static final int RING_MESSAGES = 128;
 
+	/** Time between two checks whether the first configuration may come into force. */
+	private static final long START_CHECK_MILLIS = 100;
+
 	private static final Duration STEP_PERIOD = Duration.ofMillis(250);
 
 	/** Time between two checks whether a snapshot is due. */
@@ -57,6 +60,8 @@
 
 	private final TicketSync sync;
 
+	private final StartBarrier startBarrier;
+
 	private final TimeSource time;
 
 	private final RandomGenerator random;
@@ -65,6 +70,9 @@
 
 	private boolean snapshotRead;
 
+	/** Number of the last ticket that was read and must not come into force yet, or 0. */
+	private long waitingNumber;
+
 	/**
 	 * Creates the threads; {@link #start(PeerTransport)} starts them.
 	 * @param vmId the identifier of this VM
@@ -74,12 +82,13 @@
 	 * @param configuration holds the current configuration
 	 * @param acknowledgements receives the applied numbers of all VMs
 	 * @param sync exchanges tickets with peers
+	 * @param startBarrier decides when the first configuration comes into force
 	 * @param time the time source
 	 * @param random the source of jitter between polls
 	 */
 	public ConfigurationDuty(String vmId, TicketLog log, SnapshotKeeper snapshots, KeyFreshness freshness,
-			ConfigurationHolder configuration, AcknowledgementTable acknowledgements, TicketSync sync, TimeSource time,
-			RandomGenerator random) {
+			ConfigurationHolder configuration, AcknowledgementTable acknowledgements, TicketSync sync,
+			StartBarrier startBarrier, TimeSource time, RandomGenerator random) {
 		this.vmId = vmId;
 		this.log = log;
 		this.snapshots = snapshots;
@@ -87,6 +96,8 @@
 		this.configuration = configuration;
 		this.acknowledgements = acknowledgements;
 		this.sync = sync;
+		this.startBarrier = startBarrier;
+		log.publishFirstWhen((number) -> startBarrier.permits(number, time.nanos()));
 		this.time = time;
 		this.random = random;
 		this.duty = new Duty<>("ticket-sync", RING_MESSAGES, STEP_PERIOD, (event) -> event.accept(this.time.nanos()),
@@ -132,11 +143,14 @@
 
 	private void poll() {
 		long nowNanos = this.time.nanos();
+		boolean waiting = false;
 		try {
-			readSnapshot();
-			long head = this.log.catchUp();
-			this.freshness.observe(head, nowNanos);
-			this.log.recover(nowNanos);
+			waiting = appliedNumber() == 0 && this.waitingNumber > 0
+					&& !this.startBarrier.permits(this.waitingNumber, nowNanos);
+			if (!waiting) {
+				readLog(nowNanos);
+				waiting = this.waitingNumber > 0;
+			}
 		}
 		catch (StoreException ex) {
 			LOG.atWarn().addKeyValue("event", "ticket_poll_failed").addKeyValue("reason", ex.getMessage()).log();
@@ -146,7 +160,18 @@
 			LOG.atError().addKeyValue("event", "ticket_poll_failed").setCause(ex).log();
 		}
 		finally {
-			schedulePoll();
+			schedulePoll(waiting);
+		}
+	}
+
+	private void readLog(long nowNanos) {
+		this.waitingNumber = 0;
+		readSnapshot();
+		long applied = this.log.catchUp();
+		this.waitingNumber = this.log.unpublishedNumber();
+		if (this.waitingNumber == 0) {
+			this.freshness.observe(applied, nowNanos);
+			this.log.recover(nowNanos);
 		}
 	}
 
@@ -159,8 +184,8 @@
 		}
 	}
 
-	private void schedulePoll() {
-		long delay = (long) (POLL_MILLIS
+	private void schedulePoll(boolean waiting) {
+		long delay = waiting ? START_CHECK_MILLIS : (long) (POLL_MILLIS
 				* (1 - POLL_JITTER_FRACTION + 2 * POLL_JITTER_FRACTION * this.random.nextDouble()));
 		try {
 			this.poller.schedule(this::poll, delay, TimeUnit.MILLISECONDS);
@@ -193,6 +218,7 @@
 	@Override
 	public void report(String peer, long number, long nowNanos) {
 		this.acknowledgements.report(peer, number, nowNanos);
+		this.startBarrier.report(peer, number);
 		if (number > appliedNumber()) {
 			offer((now) -> this.sync.onHigherNumber(peer, number, now));
 		}
--- a/runtime/src/main/java/org/skylarkstack/configuration/TicketLog.java
+++ b/runtime/src/main/java/org/skylarkstack/configuration/TicketLog.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
+import java.util.function.LongPredicate;
 import java.util.function.Supplier;
 
 import org.skylarkstack.kernel.ErrorType;
@@ -28,8 +29,9 @@
  * resolved by reading the ticket back and then by writing again: only one of the writes
  * can find the head at the preceding number.</li>
  * <li>This class leaves an empty configuration holder empty until it has read the log to
- * its end once. A daemon therefore never serves with an old configuration in which
- * withdrawn keys still work.</li>
+ * its end once and the condition of {@link #publishFirstWhen(LongPredicate)} holds. A
+ * daemon therefore never serves with an old configuration in which withdrawn keys still
+ * work.</li>
  * <li>After the platform restored the store from an older copy, the tickets that are in
  * force on this daemon stay in force and are recorded again.</li>
  * </ul>
@@ -58,6 +60,8 @@
 
 	private final TicketLogRecovery recovery;
 
+	private volatile LongPredicate publishesFirst = (number) -> true;
+
 	private Configuration unpublished = Configuration.EMPTY;
 
 	/**
@@ -80,9 +84,20 @@
 		this.listeners.add(listener);
 	}
 
+	/**
+	 * Sets the condition under which the first configuration that was read from the store
+	 * comes into force.
+	 * @param condition receives the number of the last ticket in the store
+	 */
+	public void publishFirstWhen(LongPredicate condition) {
+		this.publishesFirst = condition;
+	}
+
 	@Override
 	public Ticket submit(TicketDraft draft) {
-		translateStoreException(this::catchUpAndRecover);
+		if (!translateStoreException(this::catchUpAndRecover)) {
+			throw new RouterException(ErrorType.STORE_UNAVAILABLE);
+		}
 		Configuration before = this.configuration.current();
 		if (draft.number() > 0 && draft.number() <= before.appliedNumber()) {
 			return translateStoreException(() -> recordedOrConflict(draft));
@@ -199,8 +214,8 @@
 
 	/**
 	 * Reads and applies all recorded tickets that this daemon has not applied yet.
-	 * @return the applied number; all tickets that were recorded at some time during this
-	 * call have been applied
+	 * @return the applied number; unless tickets are unpublished, all tickets that were
+	 * recorded at some time during this call have been applied
 	 * @throws StoreException if the store does not respond
 	 */
 	public synchronized long catchUp() {
@@ -213,7 +228,7 @@
 		}
 		finally {
 			Configuration next = this.unpublished;
-			if (complete || start.appliedNumber() > 0) {
+			if (start.appliedNumber() > 0 || (complete && this.publishesFirst.test(next.appliedNumber()))) {
 				this.configuration.update((current) -> (current == start) ? next : current.merge(next));
 				this.unpublished = Configuration.EMPTY;
 			}
@@ -233,10 +248,18 @@
 		}
 	}
 
-	private synchronized long catchUpAndRecover() {
+	private synchronized boolean catchUpAndRecover() {
 		catchUp();
 		recover();
-		return this.configuration.current().appliedNumber();
+		return unpublishedNumber() == 0;
+	}
+
+	/**
+	 * Returns the number of the last ticket that was read and is not yet in force.
+	 * @return the number, 0 if all tickets that were read are in force
+	 */
+	public synchronized long unpublishedNumber() {
+		return this.unpublished.appliedNumber();
 	}
 
 	private synchronized void recover() {
--- a/runtime/src/test/java/org/skylarkstack/configuration/TicketSyncTests.java
+++ b/runtime/src/test/java/org/skylarkstack/configuration/TicketSyncTests.java
@@ -21,6 +21,7 @@
 import org.skylarkstack.peer.FakePeerNetwork;
 import org.skylarkstack.peer.PeerMessageType;
 import org.skylarkstack.peer.PeerTransport;
+import org.skylarkstack.store.Row;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -121,6 +122,32 @@
 		assertThat(restarted.freshness.evidence(this.now)).isPresent();
 	}
 
+	/**
+	 * Guards against a daemon that accepts withdrawn keys because it starts after the
+	 * store was restored, before its peers have recorded the lost tickets again.
+	 */
+	@Test
+	void startAfterARestoreWaitsForThePeers() {
+		start(2);
+		setUp(Tickets.team("a"), Tickets.key("k", "a"));
+		Map<String, Row> copy = this.store.copy();
+		submit(0, Tickets.deletion(2, ObjectKind.KEY, "k"));
+		this.store.restore(copy);
+		Node restarted = new Node("vm-1");
+		this.nodes.put("vm-1", restarted);
+		StartBarrier barrier = new StartBarrier(1, Duration.ofSeconds(1).toNanos(), this.now);
+		restarted.log.publishFirstWhen((number) -> barrier.permits(number, this.now));
+		restarted.poll();
+		assertThat(restarted.applied()).isEqualTo(0);
+		barrier.report("vm-0", node(0).applied());
+		restarted.poll();
+		assertThat(restarted.applied()).isEqualTo(0);
+		run(Duration.ofSeconds(2));
+		restarted.poll();
+		assertThat(restarted.applied()).isEqualTo(2);
+		assertThat(restarted.configuration.current().teamOfKey(Tickets.key("k", "a").keyHash())).isEmpty();
+	}
+
 	/**
 	 * Guards against a daemon that becomes ready without a configuration because neither
 	 * the store nor a peer responds.
