Keep fencing numbers of engine leases above those of a restored store

After the platform restored the table service from a copy in which the lease of an engine was free, the next holder got a fencing number that another holder already had, or a lower one, while the former holder sent orders until it read its row. No daemon orders engines yet, so nobody has seen this.

Cause: the fencing number was the one in the row plus one, so that it went back with the row. A free row also counted as proof that nobody holds the lease.

A fencing number is now at least the wall-clock time in milliseconds and above each number that the process has seen. For engines that ignore fencing numbers, a successor that has not watched the former lease expire itself waits for a whole lease before the longest order lifetime; the first order to such an engine comes after 22 s instead of 10 s. Ruled out: waiting for a lease in every case, because a returned lease is to be taken at once, and fencing engines refuse the former holder.

What remains: until the former holder reads its row, at most for the rest of its lease, two holders have permits with different numbers. A successor whose wall clock is behind that of the former holder by more than the time between the two has a lower number, and a fencing engine refuses its orders.

On the former code: fencingNumberDoesNotGoBackWithTheStore got number 1 after 2; successorWaitsForAHolderThatTheStoreHasLost got a permit while an order of the former holder was valid. The other tests pass the wall-clock time in addition; what they check is unchanged.

--- a/runtime/src/main/java/org/skylarkstack/lease/EngineLease.java
+++ b/runtime/src/main/java/org/skylarkstack/lease/EngineLease.java
@@ -20,7 +20,10 @@
  * <ul>
  * <li>At any time at most one holder gets permits, provided that clocks drift apart by
  * less than the safety margin within a lease.</li>
- * <li>The fencing number grows with each change of holder.</li>
+ * <li>The fencing number grows with each change of holder. It is at least the wall-clock
+ * time in milliseconds, so that it does not go back with the row when the platform
+ * restores the store from an older copy, provided that wall clocks differ by less than
+ * the time between the two changes.</li>
  * <li>An order to an engine that ignores fencing numbers is permitted only after all
  * orders of former holders have expired.</li>
  * </ul>
@@ -44,6 +47,10 @@
  * again like the lease of another VM.</li>
  * <li>Successor: takes the lease if its row is absent or returned, or if the token has
  * stayed unchanged for a full lease term on the successor's own clock.</li>
+ * <li>Restored store: a row that is absent or returned may hide a holder whose write was
+ * lost. That holder stops when it reads the row, at the latest at the end of its lease.
+ * Until then there are two holders with different fencing numbers; for engines that
+ * ignore fencing numbers, the successor waits for the former lease to end.</li>
  * </ul>
  *
  * Not thread-safe. Calls that reach the store block.
@@ -90,6 +97,11 @@
 
 	private long fencingNumber;
 
+	/** Highest fencing number that this process has read or written. */
+	private long highestFencingNumber;
+
+	private boolean takenAfterExpiry;
+
 	private long renewedNanos;
 
 	private long ordersAllowedFromNanos;
@@ -115,8 +127,9 @@
 	 * @param wanted whether this VM should hold the lease
 	 * @param nowNanos the current time on this VM's clock in nanoseconds, read before the
 	 * call
+	 * @param epochMillis the wall-clock time in milliseconds since the epoch
 	 */
-	public void step(boolean wanted, long nowNanos) {
+	public void step(boolean wanted, long nowNanos, long epochMillis) {
 		if (wanted && this.held && nowNanos - this.renewedNanos < RENEWAL_INTERVAL_NANOS) {
 			return;
 		}
@@ -131,8 +144,9 @@
 			else if (this.held) {
 				write(this.holder, this.fencingNumber, nowNanos);
 			}
-			else if (isFree(nowNanos)) {
-				write(this.holder, lastSeenFencingNumber() + 1, nowNanos);
+			else if (isReturned() || hasExpired(nowNanos)) {
+				this.takenAfterExpiry = !isReturned();
+				write(this.holder, Math.max(this.highestFencingNumber + 1, epochMillis), nowNanos);
 			}
 		}
 		catch (StoreException ex) {
@@ -146,6 +160,9 @@
 			this.rowUnchangedSinceNanos = nowNanos;
 		}
 		this.lastSeenRow = row;
+		if (row != null) {
+			this.highestFencingNumber = Math.max(this.highestFencingNumber, fencingNumber(row));
+		}
 		if (row != null && this.sentNanosByToken.containsKey(token(row))
 				&& this.holder.equals(row.attributes().get(HOLDER))) {
 			confirm(row, nowNanos);
@@ -159,7 +176,7 @@
 		long sentNanos = this.sentNanosByToken.getOrDefault(token(row), 0L);
 		long rowFencingNumber = fencingNumber(row);
 		if (!this.held || rowFencingNumber != this.fencingNumber) {
-			this.ordersAllowedFromNanos = nowNanos + (this.checksFencing ? 0 : ORDER_LIFETIME_NANOS);
+			this.ordersAllowedFromNanos = nowNanos + (this.checksFencing ? 0 : formerOrdersNanos());
 		}
 		this.held = true;
 		this.fencingNumber = rowFencingNumber;
@@ -174,14 +191,17 @@
 		}
 	}
 
-	private boolean isFree(long nowNanos) {
+	private long formerOrdersNanos() {
+		return ORDER_LIFETIME_NANOS + (this.takenAfterExpiry ? 0 : LEASE_NANOS - SAFETY_MARGIN_NANOS);
+	}
+
+	private boolean isReturned() {
 		Row row = this.lastSeenRow;
-		return row == null || row.attributes().getOrDefault(HOLDER, "").isEmpty()
-				|| nowNanos - this.rowUnchangedSinceNanos >= LEASE_NANOS;
+		return row == null || row.attributes().getOrDefault(HOLDER, "").isEmpty();
 	}
 
-	private long lastSeenFencingNumber() {
-		return (this.lastSeenRow != null) ? fencingNumber(this.lastSeenRow) : 0;
+	private boolean hasExpired(long nowNanos) {
+		return nowNanos - this.rowUnchangedSinceNanos >= LEASE_NANOS;
 	}
 
 	private void returnLease(long nowNanos) {
@@ -201,6 +221,7 @@
 				? RowCondition.attributeEquals(TOKEN, token(this.lastSeenRow)) : RowCondition.ABSENT;
 		this.sentNanosByToken.values().removeIf((sentNanos) -> nowNanos - sentNanos >= LEASE_NANOS);
 		this.sentNanosByToken.put(token, nowNanos);
+		this.highestFencingNumber = Math.max(this.highestFencingNumber, newFencingNumber);
 		boolean applied = this.store.write(List.of(RowWrite.put(row, condition)));
 		if (applied) {
 			this.lastSeenRow = row;
--- a/runtime/src/test/java/org/skylarkstack/lease/EngineLeaseTests.java
+++ b/runtime/src/test/java/org/skylarkstack/lease/EngineLeaseTests.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.random.RandomGenerator;
@@ -9,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.skylarkstack.store.Row;
 
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
@@ -20,6 +22,8 @@
 
 	private static final long SECOND = 1_000_000_000L;
 
+	private static final long MILLISECOND = 1_000_000L;
+
 	/**
 	 * Guards against a holder that sends orders after a pause that ends within the safety
 	 * margin of its lease or later.
@@ -27,7 +31,7 @@
 	@Test
 	void pausedHolderGetsNoPermit() {
 		EngineLease lease = new EngineLease(new FaultyTableStore(new Random(1), 0), "e", "vm1.1", true);
-		lease.step(true, 0);
+		lease.step(true, 0, 0);
 		assertThat(lease.permit(11 * SECOND)).isPresent();
 		assertThat(lease.permit(12 * SECOND)).isEmpty();
 	}
@@ -41,14 +45,14 @@
 		FaultyTableStore store = new FaultyTableStore(new Random(1), 0);
 		EngineLease first = new EngineLease(store, "e", "vm1.1", false);
 		EngineLease second = new EngineLease(store, "e", "vm2.1", false);
-		first.step(true, 0);
+		first.step(true, 0, 0);
 		for (long now = 0; now < 15; now++) {
-			second.step(true, now * SECOND);
+			second.step(true, now * SECOND, 0);
 			assertThat(second.permit(now * SECOND)).isEmpty();
 		}
-		second.step(true, 15 * SECOND);
+		second.step(true, 15 * SECOND, 0);
 		assertThat(second.permit(24 * SECOND)).isEmpty();
-		second.step(true, 24 * SECOND);
+		second.step(true, 24 * SECOND, 0);
 		assertThat(second.permit(25 * SECOND).map(OrderPermit::fencingNumber)).isEqualTo(Optional.of(2L));
 	}
 
@@ -61,10 +65,10 @@
 		FaultyTableStore store = new FaultyTableStore(new Random(1), 0);
 		EngineLease first = new EngineLease(store, "e", "vm1.1", true);
 		EngineLease second = new EngineLease(store, "e", "vm2.1", true);
-		first.step(true, 0);
-		first.step(false, SECOND);
+		first.step(true, 0, 0);
+		first.step(false, SECOND, 0);
 		assertThat(first.permit(SECOND)).isEmpty();
-		second.step(true, SECOND);
+		second.step(true, SECOND, 0);
 		assertThat(second.permit(SECOND).map(OrderPermit::fencingNumber)).isEqualTo(Optional.of(2L));
 	}
 
@@ -90,7 +94,7 @@
 			int permitted = 0;
 			for (int vm = 0; vm < 3; vm++) {
 				if (now >= pausedUntil[vm]) {
-					leases.get(vm).step(vm == wanted || random.nextInt(20) == 0, now);
+					leases.get(vm).step(vm == wanted || random.nextInt(20) == 0, now, now / MILLISECOND);
 				}
 				if (random.nextInt(100) == 0) {
 					pausedUntil[vm] = now + random.nextLong(40 * SECOND);
@@ -113,4 +117,56 @@
 		assertWithMessage("seed %s: permits", seed).that(permits).isGreaterThan(1_000);
 	}
 
+	/**
+	 * Guards against a fencing number that is given out twice, or a lower one after a
+	 * higher one, after the store was restored from an older copy.
+	 */
+	@Test
+	void fencingNumberDoesNotGoBackWithTheStore() {
+		FaultyTableStore store = new FaultyTableStore(new Random(1), 0);
+		EngineLease first = new EngineLease(store, "e", "vm1.1", true);
+		EngineLease second = new EngineLease(store, "e", "vm2.1", true);
+		EngineLease third = new EngineLease(store, "e", "vm3.1", true);
+		Map<String, Row> copy = store.copy();
+		first.step(true, 0, 1_000);
+		first.step(false, SECOND, 2_000);
+		second.step(true, 2 * SECOND, 3_000);
+		long before = second.permit(2 * SECOND).orElseThrow().fencingNumber();
+		store.restore(copy);
+		third.step(true, 3 * SECOND, 4_000);
+		assertThat(third.permit(3 * SECOND).orElseThrow().fencingNumber()).isGreaterThan(before);
+		second.step(true, 7 * SECOND, 8_000);
+		assertThat(second.permit(7 * SECOND)).isEmpty();
+	}
+
+	/**
+	 * Guards against orders of two holders on an engine that ignores fencing numbers,
+	 * after the store was restored from a copy in which the lease is free.
+	 */
+	@Test
+	void successorWaitsForAHolderThatTheStoreHasLost() {
+		FaultyTableStore store = new FaultyTableStore(new Random(1), 0);
+		EngineLease first = new EngineLease(store, "e", "vm1.1", false);
+		EngineLease second = new EngineLease(store, "e", "vm2.1", false);
+		Map<String, Row> copy = store.copy();
+		first.step(true, 0, 0);
+		for (long now = 0; now <= 25; now += 5) {
+			first.step(true, now * SECOND, 0);
+		}
+		store.restore(copy);
+		second.step(true, 25 * SECOND, 0);
+		// The first holder cannot reach the store and permits orders until its lease
+		// ends.
+		long lastOrder = 0;
+		for (long now = 25 * SECOND; now < 40 * SECOND; now += SECOND / 2) {
+			lastOrder = first.permit(now).map(OrderPermit::expiresNanos).orElse(lastOrder);
+		}
+		assertThat(lastOrder).isGreaterThan(40 * SECOND);
+		for (long now = 25 * SECOND; now < 60 * SECOND; now += SECOND / 2) {
+			second.step(true, now, 0);
+			assertThat(second.permit(now).isPresent() && now < lastOrder).isFalse();
+		}
+		assertThat(second.permit(60 * SECOND)).isPresent();
+	}
+
 }
--- a/runtime/src/test/java/org/skylarkstack/lease/FaultyTableStore.java
+++ b/runtime/src/test/java/org/skylarkstack/lease/FaultyTableStore.java
@@ -35,6 +35,16 @@
 		this.faultPercent = faultPercent;
 	}
 
+	Map<String, Row> copy() {
+		return Map.copyOf(this.rows);
+	}
+
+	/** Replaces all rows by those of an earlier copy. */
+	void restore(Map<String, Row> copy) {
+		this.rows.clear();
+		this.rows.putAll(copy);
+	}
+
 	private void fail(WriteEffect effect) {
 		throw new StoreException(effect, "the reply was lost", new IllegalStateException());
 	}
