Remember own idempotency claims while a restored store may lack them

After the platform restored the table service from a copy without the claim of a keyed request, a re-send ran the request a second time, also through the VM that had run it. If the request was still under way, its outcome was not stored, without a message, and each later re-send ran as well. A claim that had been released came back and refused its key for 24 hours.

Cause: only the row decided, and the result of the write of an outcome was ignored.

An outcome whose row is gone is stored with a new row. IdempotencyClaims .recover reads the claim that was written last; where that one is missing or older, it writes the lost claims, outcomes and releases again, newest first, until one is intact and the rest was confirmed before that one was sent.

What remains: a re-send through another VM before the claim is written again, or after the VM that ran the request has died, runs again.

On the former code 6 of the 7 new tests failed: re-sends to the same VM and to another VM were accepted ("expected RouterException, but nothing was thrown"), the outcome was missing ("No value present"), a lost outcome and a released claim refused the key as under way, and 20 of 25 claims were in the store. The seventh shows the remaining case.

--- a/runtime/src/main/java/org/skylarkstack/request/ClaimRow.java
+++ b/runtime/src/main/java/org/skylarkstack/request/ClaimRow.java
@@ -42,18 +42,26 @@
 		return new Row(claim.partition(), claim.sort(), commonAttributes(claim, OPEN, expiresMillis));
 	}
 
-	static RowWrite outcome(Claim claim, @Nullable StoredResponse response, long expiresMillis) {
+	static Row outcome(Claim claim, @Nullable StoredResponse response, long expiresMillis) {
 		Map<String, String> attributes = commonAttributes(claim, (response != null) ? ANSWERED : RAN, expiresMillis);
 		if (response != null) {
 			attributes.put(STATUS, Integer.toString(response.status()));
 			attributes.put(CONTENT_TYPE, response.contentType());
 			attributes.put(BODY, Base64.getEncoder().encodeToString(response.body()));
 		}
-		return RowWrite.put(new Row(claim.partition(), claim.sort(), attributes), ownedBy(claim.attemptId()));
+		return new Row(claim.partition(), claim.sort(), attributes);
 	}
 
 	static RowWrite release(Claim claim) {
-		return RowWrite.delete(new Row(claim.partition(), claim.sort(), Map.of()), ownedBy(claim.attemptId()));
+		return release(claim.partition(), claim.sort(), claim.attemptId());
+	}
+
+	static RowWrite release(String partition, String sort, String attemptId) {
+		return RowWrite.delete(new Row(partition, sort, Map.of()), ownedBy(attemptId));
+	}
+
+	static boolean isOpen(Row row) {
+		return OPEN.equals(row.attributes().getOrDefault(STATE, OPEN));
 	}
 
 	private static Map<String, String> commonAttributes(Claim claim, String state, long expiresMillis) {
--- a/runtime/src/main/java/org/skylarkstack/request/IdempotencyClaims.java
+++ b/runtime/src/main/java/org/skylarkstack/request/IdempotencyClaims.java
@@ -22,6 +22,12 @@
  * claim is removed only if the request cannot have run; otherwise it stays until its
  * expiry, with the outcome once that is known. If a daemon crashes after sending the
  * request, its claim therefore remains, and every re-send is refused.
+ *
+ * <p>
+ * The platform may restore the store from a copy that is some seconds old. A VM therefore
+ * remembers its recent claims: they decide on re-sends to the same VM, and
+ * {@link #recover(long)} writes those again that the store has lost. A re-send to another
+ * VM before that is run again.
  */
 public final class IdempotencyClaims {
 
@@ -33,6 +39,10 @@
 
 	private final TimeSource time;
 
+	private final RecentClaims recent = new RecentClaims();
+
+	private final ClaimRecovery recovery;
+
 	/**
 	 * Creates the claims.
 	 * @param store the platform's table
@@ -43,6 +53,7 @@
 		this.store = store;
 		this.claimWriteRetryQueue = claimWriteRetryQueue;
 		this.time = time;
+		this.recovery = new ClaimRecovery(store, this.recent);
 	}
 
 	/**
@@ -53,6 +64,19 @@
 	 * @throws RouterException if the request must not be sent and no response is stored
 	 */
 	public Optional<StoredResponse> claim(Claim claim) {
+		long startNanos = this.time.nanos();
+		Optional<Row> remembered = this.recent.find(claim, startNanos);
+		if (remembered.isPresent()) {
+			return ClaimRow.response(remembered.get(), claim);
+		}
+		Optional<StoredResponse> stored = claimInStore(claim);
+		if (stored.isEmpty()) {
+			this.recent.remember(ClaimRow.open(claim, expiresMillis()), startNanos, this.time.nanos());
+		}
+		return stored;
+	}
+
+	private Optional<StoredResponse> claimInStore(Claim claim) {
 		try {
 			if (put(claim, RowCondition.ABSENT)) {
 				return Optional.empty();
@@ -75,8 +99,11 @@
 	}
 
 	private boolean put(Claim claim, RowCondition condition) {
-		long expires = this.time.epochMillis() + CLAIM_TTL_MILLIS;
-		return this.store.write(List.of(RowWrite.put(ClaimRow.open(claim, expires), condition)));
+		return this.store.write(List.of(RowWrite.put(ClaimRow.open(claim, expiresMillis()), condition)));
+	}
+
+	private long expiresMillis() {
+		return this.time.epochMillis() + CLAIM_TTL_MILLIS;
 	}
 
 	// Resolves a write whose effect is unknown: the attempt id of the stored row shows
@@ -129,7 +156,20 @@
 	 * kept
 	 */
 	public void record(Claim claim, @Nullable StoredResponse response) {
-		writeOrQueue(ClaimRow.outcome(claim, response, this.time.epochMillis() + CLAIM_TTL_MILLIS));
+		Row row = ClaimRow.outcome(claim, response, expiresMillis());
+		RowWrite write = RowWrite.put(row, ClaimRow.ownedBy(claim.attemptId()));
+		long startNanos = this.time.nanos();
+		try {
+			boolean applied = this.store.write(List.of(write));
+			this.recent.remember(row, startNanos, this.time.nanos());
+			if (!applied) {
+				this.recovery.restore(row, this.store.get(row.partition(), row.sort()));
+			}
+		}
+		catch (StoreException ex) {
+			this.recent.remember(row, startNanos, this.time.nanos());
+			this.claimWriteRetryQueue.add(write, this.time.nanos());
+		}
 	}
 
 	/**
@@ -137,9 +177,37 @@
 	 * @param claim the claim
 	 */
 	public void release(Claim claim) {
+		this.recent.rememberReleased(claim, this.time.nanos());
 		writeOrQueue(ClaimRow.release(claim));
 	}
 
+	/**
+	 * Writes recent claims of this VM again if the store has lost them. To be called
+	 * periodically.
+	 * @param nowNanos the current monotonic time in nanoseconds
+	 * @throws StoreException if the store does not respond
+	 */
+	public void recover(long nowNanos) {
+		this.recovery.step(nowNanos);
+	}
+
+	/**
+	 * Returns the number of claims of this VM that the store was found to have lost.
+	 * @return the count since start
+	 */
+	public long lostClaims() {
+		return this.recovery.lostClaims();
+	}
+
+	/**
+	 * Returns the number of lost claims whose keys another attempt had claimed before
+	 * they were written again; the requests may have run twice.
+	 * @return the count since start
+	 */
+	public long claimsTakenAgain() {
+		return this.recovery.conflicts();
+	}
+
 	private void writeOrQueue(RowWrite write) {
 		try {
 			this.store.write(List.of(write));
--- a/runtime/src/test/java/org/skylarkstack/request/FakeTableStore.java
+++ b/runtime/src/test/java/org/skylarkstack/request/FakeTableStore.java
@@ -25,6 +25,9 @@
 	/** Writes that failed with an unknown effect and are not applied yet. */
 	final Deque<List<RowWrite>> delayedWrites = new ArrayDeque<>();
 
+	/** Number of single rows read. */
+	int reads;
+
 	boolean down;
 
 	boolean readsFail;
@@ -43,6 +46,7 @@
 
 	@Override
 	public Optional<Row> get(String partition, String sort) {
+		this.reads++;
 		if (this.down || this.readsFail) {
 			throw failure(WriteEffect.NOT_APPLIED);
 		}
--- a/runtime/src/test/java/org/skylarkstack/request/IdempotencyClaimsTests.java
+++ b/runtime/src/test/java/org/skylarkstack/request/IdempotencyClaimsTests.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 import org.junit.jupiter.api.Test;
@@ -9,6 +10,7 @@
 import org.skylarkstack.kernel.Exceptions;
 import org.skylarkstack.kernel.RouterException;
 import org.skylarkstack.kernel.Verdict;
+import org.skylarkstack.store.Row;
 import org.skylarkstack.store.TableStore;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -157,4 +159,90 @@
 		assertThat(this.store.rows).isEmpty();
 	}
 
+	private void restore(Map<String, Row> copy) {
+		this.store.rows.clear();
+		this.store.rows.putAll(copy);
+	}
+
+	@Test
+	void reSendToTheSameVmIsNotRunAgainAfterTheStoreLostItsClaim() {
+		Map<String, Row> copy = Map.copyOf(this.store.rows);
+		this.claims.claim(claim("a1"));
+		restore(copy);
+		assertThat(refusal(this.claims, claim("a2")).type()).isEqualTo(ErrorType.CLAIM_IN_PROGRESS);
+		this.claims.record(claim("a1"), new StoredResponse(201, "", new byte[0]));
+		assertThat(this.claims.claim(claim("a3")).orElseThrow().status()).isEqualTo(201);
+	}
+
+	@Test
+	void reSendToAnotherVmIsNotRunAgainAfterTheLostClaimWasWrittenAgain() {
+		Map<String, Row> copy = Map.copyOf(this.store.rows);
+		this.claims.claim(claim("a1"));
+		restore(copy);
+		this.claims.recover(this.time.nanos());
+		assertThat(refusal(this.elsewhere, claim("b1")).type()).isEqualTo(ErrorType.CLAIM_IN_PROGRESS);
+		assertThat(this.claims.lostClaims()).isEqualTo(1);
+	}
+
+	@Test
+	void outcomeIsStoredAlthoughTheStoreLostTheClaim() {
+		Map<String, Row> copy = Map.copyOf(this.store.rows);
+		this.claims.claim(claim("a1"));
+		restore(copy);
+		this.claims.record(claim("a1"), new StoredResponse(201, "", new byte[0]));
+		assertThat(this.elsewhere.claim(claim("b1")).orElseThrow().status()).isEqualTo(201);
+	}
+
+	@Test
+	void outcomeThatTheStoreLostIsWrittenAgain() {
+		this.claims.claim(claim("a1"));
+		Map<String, Row> copy = Map.copyOf(this.store.rows);
+		this.claims.record(claim("a1"), new StoredResponse(201, "", new byte[0]));
+		restore(copy);
+		this.claims.recover(this.time.nanos());
+		assertThat(this.elsewhere.claim(claim("b1")).orElseThrow().status()).isEqualTo(201);
+	}
+
+	@Test
+	void releasedClaimThatTheStoreBringsBackIsReleasedAgain() {
+		this.claims.claim(claim("a1"));
+		Map<String, Row> copy = Map.copyOf(this.store.rows);
+		this.claims.release(claim("a1"));
+		restore(copy);
+		this.claims.recover(this.time.nanos());
+		assertThat(this.elsewhere.claim(claim("b1"))).isEqualTo(Optional.empty());
+	}
+
+	@Test
+	void allLostClaimsAreWrittenAgainAndNoOthersAreRead() {
+		for (int number = 0; number < 20; number++) {
+			this.claims.claim(Claim.of("team", "early-" + number, "hash", "e" + number));
+			this.time.advanceMillis(100);
+		}
+		Map<String, Row> copy = Map.copyOf(this.store.rows);
+		for (int number = 0; number < 5; number++) {
+			this.claims.claim(Claim.of("team", "late-" + number, "hash", "l" + number));
+			this.time.advanceMillis(100);
+		}
+		restore(copy);
+		this.claims.recover(this.time.nanos());
+		assertThat(this.claims.lostClaims()).isEqualTo(5);
+		assertThat(this.store.rows).hasSize(25);
+		this.store.reads = 0;
+		this.claims.recover(this.time.nanos());
+		assertThat(this.store.reads).isEqualTo(1);
+		assertThat(this.claims.lostClaims()).isEqualTo(5);
+	}
+
+	@Test
+	void keyThatAnotherVmClaimedAfterTheRestoreIsReported() {
+		Map<String, Row> copy = Map.copyOf(this.store.rows);
+		this.claims.claim(claim("a1"));
+		restore(copy);
+		assertThat(this.elsewhere.claim(claim("b1"))).isEqualTo(Optional.empty());
+		this.claims.recover(this.time.nanos());
+		assertThat(this.claims.claimsTakenAgain()).isEqualTo(1);
+		assertThat(refusal(this.claims, claim("a2")).type()).isEqualTo(ErrorType.CLAIM_IN_PROGRESS);
+	}
+
 }
