Let the platform stand-in return its table to an older copy

No fleet test could show what daemons do when the table service is restored from a copy. PlatformStandIn now takes a copy of its table and returns to it. The new scenario in tickets.feature loses a ticket that is in force on three VMs, submits the next one through another VM and restarts a daemon; all VMs reach the next number.

--- a/standin/src/main/java/org/skylarkstack/standin/PlatformStandIn.java
+++ b/standin/src/main/java/org/skylarkstack/standin/PlatformStandIn.java
@@ -42,6 +42,8 @@
 
 	private volatile @Nullable List<String> staleVmList;
 
+	private volatile Map<String, JsonNode> tableCopy = Map.of();
+
 	/**
 	 * Starts a platform.
 	 * @param port the port on the loopback interface, or 0 for any free port
@@ -104,6 +106,16 @@
 		return applied;
 	}
 
+	/** Takes a copy of the table, which {@link #restoreTable()} returns to. */
+	public void copyTable() {
+		this.tableCopy = this.table.copy();
+	}
+
+	/** Returns the table to the last copy; all later writes are lost. */
+	public void restoreTable() {
+		this.table.restore(this.tableCopy);
+	}
+
 	private void listVms(Context context) {
 		List<String> shown = this.staleVmList;
 		if (this.faults.admit(context.pathParam("zone"), "ListVms")) {
--- a/standin/src/main/java/org/skylarkstack/standin/StandInTable.java
+++ b/standin/src/main/java/org/skylarkstack/standin/StandInTable.java
@@ -54,6 +54,16 @@
 		return page;
 	}
 
+	synchronized Map<String, JsonNode> copy() {
+		return Map.copyOf(this.items);
+	}
+
+	/** Replaces all items by those of an earlier copy. */
+	synchronized void restore(Map<String, JsonNode> copy) {
+		this.items.clear();
+		this.items.putAll(copy);
+	}
+
 	private static int itemBytes(JsonNode item) {
 		int bytes = 0;
 		for (Map.Entry<String, JsonNode> attribute : item.properties()) {
--- a/testsuite/src/test/java/org/skylarkstack/testsuite/TicketSteps.java
+++ b/testsuite/src/test/java/org/skylarkstack/testsuite/TicketSteps.java
@@ -161,6 +161,16 @@
 		fleet().platform().faults().down(false);
 	}
 
+	@Given("the platform takes a copy of its table")
+	public void copyTable() {
+		fleet().platform().copyTable();
+	}
+
+	@When("the platform restores its table from the copy")
+	public void restoreTable() {
+		fleet().platform().restoreTable();
+	}
+
 	@When("data centre {string} is cut off from the platform and its peers")
 	public void cutOff(String dataCentre) {
 		fleet().platform().faults().cutOff(dataCentre, true);
--- a/testsuite/src/test/resources/org/skylarkstack/testsuite/tickets.feature
+++ b/testsuite/src/test/resources/org/skylarkstack/testsuite/tickets.feature
@@ -44,6 +44,17 @@
     When data centre "dc-1" is connected again
     Then the key of team "registers" works on VM 1 again
 
+  Scenario: A table that is restored from an older copy loses no ticket
+    Given a fleet of 3 VMs in 3 data centres that takes tickets
+    And the platform takes a copy of its table
+    When operator "ann" submits ticket 2 that adds team "pumps" through VM 1
+    Then ticket 2 is in force on every VM
+    When the platform restores its table from the copy
+    And operator "bob" submits ticket 3 that adds team "meals" through VM 2
+    Then the last ticket is recorded
+    When the daemon of VM 0 restarts
+    Then ticket 3 is in force on every VM
+
   Scenario: The command line applies a ticket once and shows it
     Given a fleet of 1 VMs in 1 data centres that takes tickets
     When an operator applies ticket 2 on the command line twice
