Test the ticket log with random restores of its table

The tests of the recovery restored the table once. Twenty seeded sequences of 200 actions now mix tickets through four daemons without peers, polls, copies and restores, and check that all daemons agree in the end and that no confirmed team is missing.

--- a/runtime/src/test/java/org/skylarkstack/configuration/RestoredTicketLogTests.java
+++ b/runtime/src/test/java/org/skylarkstack/configuration/RestoredTicketLogTests.java
@@ -4,8 +4,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.skylarkstack.kernel.ErrorType;
 import org.skylarkstack.kernel.RouterException;
 import org.skylarkstack.store.Row;
@@ -217,6 +220,47 @@
 		assertThat(started.configuration.current().appliedNumber()).isEqualTo(131);
 	}
 
+	/**
+	 * Guards against daemons that differ, or a confirmed change that is lost, after any
+	 * sequence of tickets, polls, restores and daemons that do not poll for some time.
+	 */
+	@ParameterizedTest
+	@ValueSource(longs = { 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20 })
+	void daemonsAgreeAfterRandomRestores(long seed) {
+		Random random = new Random(seed);
+		for (int index = 0; index < 4; index++) {
+			start();
+		}
+		Map<String, Row> copy = this.store.copy();
+		List<String> confirmed = new ArrayList<>();
+		for (int action = 0; action < 200; action++) {
+			Daemon daemon = this.daemons.get(random.nextInt(this.daemons.size()));
+			this.now += random.nextLong(TicketLogRecovery.COMPARISON_PERIOD_NANOS);
+			switch (random.nextInt(10)) {
+				case 0 -> copy = this.store.copy();
+				case 1 -> this.store.restore(copy);
+				case 2, 3, 4 -> submitNext(daemon, "team-" + action, random.nextInt(3), confirmed);
+				default -> daemon.poll();
+			}
+		}
+		poll();
+		poll();
+		assertAllAgree();
+		Configuration last = this.daemons.get(0).configuration.current();
+		confirmed.forEach((team) -> assertWithMessage("seed %s: %s", seed, team).that(last.team(team)).isPresent());
+	}
+
+	/**
+	 * Submits a ticket that adds one team and changes a team that other tickets change.
+	 */
+	private void submitNext(Daemon daemon, String team, int shared, List<String> confirmed) {
+		daemon.poll();
+		long next = daemon.configuration.current().appliedNumber() + 1;
+		daemon.submit(Tickets.ticket(next, "ann", Tickets.team(team),
+				new Team("shared-" + shared, next, next + team.length(), 1, null)));
+		confirmed.add(team);
+	}
+
 	/**
 	 * Daemon without peers.
 	 */
