--- a/gateway/src/main/java/org/skylarkstack/gateway/GatewayMetrics.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/GatewayMetrics.java
@@ -5,6 +5,7 @@
 import java.io.UncheckedIOException;
 
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
@@ -36,6 +37,11 @@
 		.labelNames("call", "outcome")
 		.register(this.registry);
 
+	private final Gauge storeEra = Gauge.builder()
+		.name("skylarkstack_gateway_store_era")
+		.help("Newest known era of the platform's store, -1 if unknown")
+		.register(this.registry);
+
 	private final Histogram firstByteSeconds = Histogram.builder()
 		.name("skylarkstack_gateway_first_byte_seconds")
 		.help("Time from a whole request to the first byte of its answer")
@@ -72,6 +78,14 @@
 		this.storeCalls.labelValues(call, outcome).inc();
 	}
 
+	/**
+	 * Sets the era of the platform's store.
+	 * @param era the newest known era, or -1 if no reply has stated one
+	 */
+	public void storeEra(long era) {
+		this.storeEra.set(era);
+	}
+
 	/**
 	 * Records the time until the first byte of a response was sent.
 	 * @param kind the kind of the route
