--- a/gateway/src/main/java/org/skylarkstack/gateway/LeadershipTakeover.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/LeadershipTakeover.java
@@ -6,6 +6,10 @@
  * which an engine may still carry out an order of that daemon. The time is measured on
  * this daemon's monotonic clock. The clock stops while the VM is suspended, which can
  * only make the daemon wait longer.
+ *
+ * <p>
+ * A store that has lost recent writes may have lost the latest claim, whoever holds the
+ * one that is read. The daemon then waits for as long, from when it first sees the loss.
  */
 final class LeadershipTakeover {
 
@@ -28,6 +32,9 @@
 	 * @return whether this daemon may claim the task
 	 */
 	boolean mayClaim(LeadershipClaim claim, String self, long nowNanos) {
+		if (claim.era() > 0 && nowNanos - claim.eraSinceNanos() <= this.maxOrderDelayNanos) {
+			return false;
+		}
 		if (claim.fencingNumber() == 0 || claim.holder().equals(self)) {
 			return true;
 		}
--- a/gateway/src/test/java/org/skylarkstack/gateway/LeadershipTakeoverTests.java
+++ b/gateway/src/test/java/org/skylarkstack/gateway/LeadershipTakeoverTests.java
@@ -19,8 +19,8 @@
 	 */
 	@Test
 	void leadershipWithoutClaimOrWithOwnClaimMayBeClaimed() {
-		assertThat(this.takeover.mayClaim(new LeadershipClaim("", 0), "b", 0)).isTrue();
-		assertThat(this.takeover.mayClaim(new LeadershipClaim("b", 7), "b", 0)).isTrue();
+		assertThat(this.takeover.mayClaim(new LeadershipClaim("", 0, 0, 0), "b", 0)).isTrue();
+		assertThat(this.takeover.mayClaim(new LeadershipClaim("b", 7, 0, 0), "b", 0)).isTrue();
 	}
 
 	/**
@@ -29,9 +29,9 @@
 	 */
 	@Test
 	void theClaimOfAnotherDaemonIsTakenOverOnlyAfterTheWait() {
-		assertThat(this.takeover.mayClaim(new LeadershipClaim("a", 7), "b", 0)).isFalse();
-		assertThat(this.takeover.mayClaim(new LeadershipClaim("a", 7), "b", 19 * SECOND)).isFalse();
-		assertThat(this.takeover.mayClaim(new LeadershipClaim("a", 7), "b", 21 * SECOND)).isTrue();
+		assertThat(this.takeover.mayClaim(new LeadershipClaim("a", 7, 0, 0), "b", 0)).isFalse();
+		assertThat(this.takeover.mayClaim(new LeadershipClaim("a", 7, 0, 0), "b", 19 * SECOND)).isFalse();
+		assertThat(this.takeover.mayClaim(new LeadershipClaim("a", 7, 0, 0), "b", 21 * SECOND)).isTrue();
 	}
 
 	/**
@@ -40,9 +40,21 @@
 	 */
 	@Test
 	void aNewClaimOfTheOtherDaemonRestartsTheWait() {
-		assertThat(this.takeover.mayClaim(new LeadershipClaim("a", 7), "b", 0)).isFalse();
-		assertThat(this.takeover.mayClaim(new LeadershipClaim("a", 9), "b", 19 * SECOND)).isFalse();
-		assertThat(this.takeover.mayClaim(new LeadershipClaim("a", 9), "b", 21 * SECOND)).isFalse();
+		assertThat(this.takeover.mayClaim(new LeadershipClaim("a", 7, 0, 0), "b", 0)).isFalse();
+		assertThat(this.takeover.mayClaim(new LeadershipClaim("a", 9, 0, 0), "b", 19 * SECOND)).isFalse();
+		assertThat(this.takeover.mayClaim(new LeadershipClaim("a", 9, 0, 0), "b", 21 * SECOND)).isFalse();
+	}
+
+	/**
+	 * Guards against an order while an order of a daemon whose claim the store has lost
+	 * may still be carried out, even if the claim that is left is this daemon's own.
+	 */
+	@Test
+	void afterTheStoreHasLostWritesNoClaimIsMadeBeforeTheWait() {
+		long since = 30 * SECOND;
+		assertThat(this.takeover.mayClaim(new LeadershipClaim("b", 7, 1, since), "b", 31 * SECOND)).isFalse();
+		assertThat(this.takeover.mayClaim(new LeadershipClaim("", 0, 1, since), "b", 49 * SECOND)).isFalse();
+		assertThat(this.takeover.mayClaim(new LeadershipClaim("b", 7, 1, since), "b", 51 * SECOND)).isTrue();
 	}
 
 }
