Decide in one place which statement about a server holds

The sequence number of entries was read and not kept.

AnnouncementOrder now decides: a later start wins; within an incarnation the higher sequence number does, but leaving is never taken back; a removed server is back only with a higher number. A statement without a number, such as one in a response, fits in as leaving only.

Tests that build a BackendNode got the sequence number 1.

--- a/gateway/src/main/java/org/skylarkstack/gateway/BackendDirectory.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/BackendDirectory.java
@@ -10,26 +10,48 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * The announced backend servers by identifier. An announcement with a later start time
- * than the known one belongs to a new incarnation, which begins with an empty state.
+ * The announced backend servers by identifier. Each new incarnation of a server begins
+ * with an empty state. {@link AnnouncementOrder} decides which announcement holds.
  * Confined to one thread.
  */
 public final class BackendDirectory {
 
 	private final Map<String, BackendState> states = new HashMap<>();
 
+	private final AnnouncementOrder order = new AnnouncementOrder();
+
+	/**
+	 * Registers an announced server, unless a later statement about it is known.
+	 * @param announced the announced server
+	 * @return whether the announcement holds, at least in part
+	 */
+	public boolean register(BackendNode announced) {
+		return register(announced, false);
+	}
+
 	/**
-	 * Registers an announced server, unless it is an earlier incarnation of a known one.
-	 * @param node the announced server
+	 * Registers a server whose announcement the store has kept for longer than that of a
+	 * silent server, even if the server was removed before.
+	 * @param announced the announced server
 	 */
-	public void register(BackendNode node) {
-		BackendState known = this.states.get(node.id());
-		if (known != null && known.node().sameIncarnation(node)) {
-			known.update(node);
+	public void registerConfirmed(BackendNode announced) {
+		register(announced, true);
+	}
+
+	private boolean register(BackendNode announced, boolean confirmed) {
+		BackendState state = this.states.get(announced.id());
+		BackendNode known = (state != null) ? state.node() : null;
+		BackendNode current = this.order.announce(known, announced, confirmed);
+		if (current == null || current.equals(known)) {
+			return announced.equals(known);
 		}
-		else if (known == null || known.node().startedMillis() < node.startedMillis()) {
-			this.states.put(node.id(), new BackendState(node));
+		if (state != null && state.node().sameIncarnation(current)) {
+			state.update(current);
 		}
+		else {
+			this.states.put(current.id(), new BackendState(current));
+		}
+		return true;
 	}
 
 	/**
@@ -37,7 +59,10 @@
 	 * @param id the identifier of the server
 	 */
 	public void remove(String id) {
-		this.states.remove(id);
+		BackendState removed = this.states.remove(id);
+		if (removed != null) {
+			this.order.remove(removed.node());
+		}
 	}
 
 	/**
--- a/gateway/src/main/java/org/skylarkstack/gateway/BackendNode.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/BackendNode.java
@@ -7,6 +7,7 @@
  *
  * @param id the identifier of the server instance
  * @param startedMillis when this incarnation started, in milliseconds since the epoch
+ * @param sequenceNumber increases with each announcement of an incarnation
  * @param service the service that it belongs to
  * @param address the address on which it accepts requests
  * @param dataCentre the data centre that it runs in
@@ -14,8 +15,8 @@
  * @param draining whether it is about to stop and must get no new requests
  * @param role its role
  */
-public record BackendNode(String id, long startedMillis, String service, InetSocketAddress address, String dataCentre,
-		int slots, boolean draining, BackendRole role) {
+public record BackendNode(String id, long startedMillis, long sequenceNumber, String service, InetSocketAddress address,
+		String dataCentre, int slots, boolean draining, BackendRole role) {
 
 	/**
 	 * Returns a key that identifies this server in its current role.
@@ -25,6 +26,15 @@
 		return this.id + "/" + this.role;
 	}
 
+	/**
+	 * Returns this announcement with the server marked as about to stop.
+	 * @return this announcement, or a copy of it
+	 */
+	BackendNode asDraining() {
+		return this.draining ? this : new BackendNode(this.id, this.startedMillis, this.sequenceNumber, this.service,
+				this.address, this.dataCentre, this.slots, true, this.role);
+	}
+
 	/**
 	 * Returns whether another announcement belongs to the same incarnation of this
 	 * server.
--- a/gateway/src/test/java/org/skylarkstack/gateway/BackendChooserTests.java
+++ b/gateway/src/test/java/org/skylarkstack/gateway/BackendChooserTests.java
@@ -26,7 +26,7 @@
 
 	private static BackendState server(String id) {
 		return new BackendState(
-				new BackendNode(id, 1, "s", new InetSocketAddress("127.0.0.1", 1), "a", 6, false, BackendRole.NONE));
+				new BackendNode(id, 1, 1, "s", new InetSocketAddress("127.0.0.1", 1), "a", 6, false, BackendRole.NONE));
 	}
 
 	/**
--- a/gateway/src/test/java/org/skylarkstack/gateway/BackendDirectoryTests.java
+++ b/gateway/src/test/java/org/skylarkstack/gateway/BackendDirectoryTests.java
@@ -1,6 +1,7 @@
 package org.skylarkstack.gateway;
 
 import java.net.InetSocketAddress;
+import java.util.Objects;
 
 import org.junit.jupiter.api.Test;
 
@@ -16,8 +17,16 @@
 	private final BackendDirectory directory = new BackendDirectory();
 
 	private static BackendNode node(String id, long startedMillis, boolean draining) {
-		return new BackendNode(id, startedMillis, "service", new InetSocketAddress("127.0.0.1", 1), "a", 8, draining,
-				BackendRole.NONE);
+		return node(id, startedMillis, 1, draining);
+	}
+
+	private static BackendNode node(String id, long startedMillis, long sequenceNumber, boolean draining) {
+		return new BackendNode(id, startedMillis, sequenceNumber, "service", new InetSocketAddress("127.0.0.1", 1), "a",
+				8, draining, BackendRole.NONE);
+	}
+
+	private boolean draining(String id) {
+		return Objects.requireNonNull(this.directory.find(id)).node().draining();
 	}
 
 	/**
@@ -57,6 +66,57 @@
 		assertThat(this.directory.candidates("service", BackendRole.NONE, (node) -> false)).hasSize(1);
 	}
 
+	/** Guards against taking back that a server is leaving. */
+	@Test
+	void aLeavingServerKeepsLeavingUntilItStartsAgain() {
+		this.directory.register(node("x", 1, 5, true));
+		assertThat(this.directory.register(node("x", 1, 4, false))).isFalse();
+		this.directory.register(node("x", 1, 6, false));
+		assertThat(draining("x")).isTrue();
+		this.directory.remove("x");
+		this.directory.register(node("x", 1, 7, false));
+		assertThat(draining("x")).isTrue();
+		this.directory.register(node("x", 2, 1, false));
+		assertThat(draining("x")).isFalse();
+	}
+
+	/** Guards against an older announcement that hides that a server is leaving. */
+	@Test
+	void anEarlierAnnouncementOnlyCountsIfTheServerIsLeaving() {
+		this.directory.register(node("x", 1, 5, false));
+		assertThat(this.directory.register(node("x", 1, 4, false))).isFalse();
+		assertThat(Objects.requireNonNull(this.directory.find("x")).node().sequenceNumber()).isEqualTo(5);
+		assertThat(this.directory.register(node("x", 1, 4, true))).isTrue();
+		assertThat(draining("x")).isTrue();
+	}
+
+	/**
+	 * Guards against requests to a removed server whose old entry comes back, and against
+	 * a server that stays removed although it announces itself again.
+	 */
+	@Test
+	void aRemovedServerIsBackOnlyWithALaterAnnouncement() {
+		this.directory.register(node("x", 1, 5, false));
+		this.directory.remove("x");
+		assertThat(this.directory.register(node("x", 1, 5, false))).isFalse();
+		assertThat(this.directory.find("x")).isNull();
+		assertThat(this.directory.register(node("x", 1, 6, false))).isTrue();
+		this.directory.remove("x");
+		this.directory.registerConfirmed(node("x", 1, 6, false));
+		assertThat(this.directory.find("x")).isNotNull();
+	}
+
+	/** Guards against removed servers that fill the memory. */
+	@Test
+	void onlyTheLastRemovedServersAreRemembered() {
+		for (int server = 0; server <= AnnouncementOrder.MAX_REMOVED_SERVERS; server++) {
+			this.directory.register(node("x" + server, 1, 5, false));
+			this.directory.remove("x" + server);
+		}
+		assertThat(this.directory.register(node("x0", 1, 5, false))).isTrue();
+		assertThat(this.directory.register(node("x1", 1, 5, false))).isFalse();
+	}
+
 	/**
 	 * Guards against a failed server that never gets a trial request, or that gets many
 	 * requests simultaneously when its avoidance time ends.
--- a/gateway/src/test/java/org/skylarkstack/gateway/CrashSuspectsTests.java
+++ b/gateway/src/test/java/org/skylarkstack/gateway/CrashSuspectsTests.java
@@ -47,7 +47,7 @@
 	}
 
 	private static BackendNode server(String id) {
-		return new BackendNode(id, 1, "model", new InetSocketAddress("127.0.0.1", 1), "a", 8, false,
+		return new BackendNode(id, 1, 1, "model", new InetSocketAddress("127.0.0.1", 1), "a", 8, false,
 				BackendRole.DECODE);
 	}
 
--- a/gateway/src/test/java/org/skylarkstack/gateway/CrashingPartFleet.java
+++ b/gateway/src/test/java/org/skylarkstack/gateway/CrashingPartFleet.java
@@ -282,7 +282,7 @@
 		}
 
 		BackendNode node() {
-			return new BackendNode("engine-" + this.number, this.incarnation, "model",
+			return new BackendNode("engine-" + this.number, this.incarnation, 1, "model",
 					new InetSocketAddress("127.0.0.1", 1), "a", 8, false, BackendRole.DECODE);
 		}
 
