Refuse keys while peers know a newer configuration than the store

A process that started after a restore, before the operator had written again, took the restored configuration for fresh: a withdrawn key got 200 at once, and new keys and routes were denied with 401 and 404.

Usage reports now state the version in force (format 3). Without a restore nothing changes.

Tests that build a UsageReport got the version 0, and 17 where the codec is tested.

--- a/gateway/src/main/java/org/skylarkstack/gateway/ConfigurationFreshness.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/ConfigurationFreshness.java
@@ -7,7 +7,8 @@
  * A read includes every key withdrawal that was confirmed before the read was sent. The
  * monotonic clock stops while a VM is suspended and the wall clock may jump, so the
  * larger of both ages counts: the configuration is stale after the VM was suspended, and
- * a jump of the wall clock costs no more than another read.
+ * a jump of the wall clock costs no more than another read. A recent read does not help
+ * if the store has lost newer versions; see {@link ConfigurationVersions}.
  */
 public final class ConfigurationFreshness {
 
@@ -15,6 +16,8 @@
 
 	private final long maxAgeMillis;
 
+	private final ConfigurationVersions versions;
+
 	private boolean everRead;
 
 	private long sentNanos;
@@ -24,9 +27,11 @@
 	/**
 	 * Creates a tracker without any recorded read.
 	 * @param maxAgeMillis the age in milliseconds from which keys are no longer accepted
+	 * @param versions the version in force and those of peers
 	 */
-	public ConfigurationFreshness(long maxAgeMillis) {
+	public ConfigurationFreshness(long maxAgeMillis, ConfigurationVersions versions) {
 		this.maxAgeMillis = maxAgeMillis;
+		this.versions = versions;
 	}
 
 	/**
@@ -60,10 +65,11 @@
 	 * Returns whether the last read is recent enough for keys to be accepted.
 	 * @param nowNanos the current monotonic time in nanoseconds
 	 * @param nowEpochMillis the current wall-clock time in milliseconds since the epoch
-	 * @return whether the age is below the maximum
+	 * @return whether the age is below the maximum, and no newer version may exist that
+	 * the store has lost
 	 */
 	public boolean fresh(long nowNanos, long nowEpochMillis) {
-		return ageMillis(nowNanos, nowEpochMillis) < this.maxAgeMillis;
+		return ageMillis(nowNanos, nowEpochMillis) < this.maxAgeMillis && !this.versions.mayBeOutdated(nowNanos);
 	}
 
 }
--- a/gateway/src/main/java/org/skylarkstack/gateway/Gateway.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/Gateway.java
@@ -75,6 +75,9 @@
 			throw RouterException.retryAfter(ErrorType.NOT_READY, DEFAULT_RETRY_AFTER);
 		}
 		ServiceRoute route = table.route(facts.host(), request.path());
+		if (route == null && this.components.state().versions().mayBeOutdated(now)) {
+			throw RouterException.retryAfter(ErrorType.NOT_READY, DEFAULT_RETRY_AFTER);
+		}
 		if (route == null) {
 			throw new RouterException(ErrorType.NO_ROUTE, request.method(), request.path());
 		}
--- a/gateway/src/main/java/org/skylarkstack/gateway/GatewayMetrics.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/GatewayMetrics.java
@@ -42,6 +42,12 @@
 		.help("Newest known era of the platform's store, -1 if unknown")
 		.register(this.registry);
 
+	private final Gauge configurationVersion = Gauge.builder()
+		.name("skylarkstack_gateway_configuration_version")
+		.help("Version of the configuration in force, and the newest version that this daemon or a peer has had")
+		.labelNames("version")
+		.register(this.registry);
+
 	private final Histogram firstByteSeconds = Histogram.builder()
 		.name("skylarkstack_gateway_first_byte_seconds")
 		.help("Time from a whole request to the first byte of its answer")
@@ -86,6 +92,16 @@
 		this.storeEra.set(era);
 	}
 
+	/**
+	 * Sets the versions of the configuration.
+	 * @param inForce the version in force, or 0 if there is none
+	 * @param newest the newest known version
+	 */
+	public void configurationVersion(long inForce, long newest) {
+		this.configurationVersion.labelValues("in-force").set(inForce);
+		this.configurationVersion.labelValues("newest-known").set(newest);
+	}
+
 	/**
 	 * Records the time until the first byte of a response was sent.
 	 * @param kind the kind of the route
--- a/gateway/src/main/java/org/skylarkstack/gateway/GatewayState.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/GatewayState.java
@@ -19,6 +19,8 @@
 
 	private final BackendDirectory backends = new BackendDirectory();
 
+	private final ConfigurationVersions versions = new ConfigurationVersions();
+
 	private final ConfigurationFreshness freshness;
 
 	private @Nullable RoutingTable routing;
@@ -32,7 +34,8 @@
 	 * @param settings the settings, of which the revocation time is used
 	 */
 	public GatewayState(GatewaySettings settings) {
-		this.freshness = new ConfigurationFreshness((long) (MAX_AGE_SHARE * settings.revocationMillis()));
+		this.freshness = new ConfigurationFreshness((long) (MAX_AGE_SHARE * settings.revocationMillis()),
+				this.versions);
 	}
 
 	/**
@@ -46,6 +49,7 @@
 			return;
 		}
 		this.routing = table;
+		this.versions.recordApplied(table.version());
 		log.atInfo()
 			.addKeyValue("event", "configuration-applied")
 			.addKeyValue("version", table.version())
@@ -103,6 +107,14 @@
 		return this.freshness;
 	}
 
+	/**
+	 * Returns the versions of the configuration that this daemon and its peers know.
+	 * @return the versions, updated in place
+	 */
+	public ConfigurationVersions versions() {
+		return this.versions;
+	}
+
 	/** Records that the daemon is stopping. */
 	public void stop() {
 		this.stopping = true;
@@ -112,12 +124,13 @@
 	 * Returns whether this daemon is ready for new connections.
 	 * @param nowNanos the current monotonic time in nanoseconds
 	 * @param nowEpochMillis the current wall-clock time in milliseconds since the epoch
-	 * @return whether the daemon is not stopping, has read a configuration and the
-	 * backend servers, and has a fresh configuration if keys are required
+	 * @return whether the daemon is not stopping, has read a configuration that is not
+	 * known to be outdated and the backend servers, and has a fresh configuration if keys
+	 * are required
 	 */
 	public boolean ready(long nowNanos, long nowEpochMillis) {
 		RoutingTable table = this.routing;
-		return !this.stopping && table != null && this.backendsLoaded
+		return !this.stopping && table != null && this.backendsLoaded && !this.versions.mayBeOutdated(nowNanos)
 				&& (table.teams().isEmpty() || this.freshness.fresh(nowNanos, nowEpochMillis));
 	}
 
--- a/gateway/src/main/java/org/skylarkstack/peers/PeerLink.java
+++ b/gateway/src/main/java/org/skylarkstack/peers/PeerLink.java
@@ -23,8 +23,10 @@
 
 /**
  * Sends usage reports over UDP to the daemons that {@link ReportRouter} selects, and
- * receives theirs. The time until the next round grows with the number of bytes that a
- * round sends, so that a daemon's traffic stays bounded.
+ * receives theirs. A process reports to its group as soon as it knows the members, and
+ * each member answers the first report of a process with its own, so that the new process
+ * does not wait for the next round. The time until the next round grows with the number
+ * of bytes that a round sends, so that a daemon's traffic stays bounded.
  */
 public final class PeerLink {
 
@@ -85,6 +87,7 @@
 	 */
 	public void setPeers(Collection<Peer> peers) {
 		this.router.setPeers(peers);
+		scheduleReport();
 	}
 
 	/**
@@ -181,11 +184,18 @@
 					.log();
 			}
 			long now = System.nanoTime();
+			// The first report of a datagram is that of its sender.
+			boolean newProcess = !received.isEmpty() && !PeerLink.this.usage.knowsProcess(received.get(0));
 			for (UsageReport report : received) {
 				if (!report.vmId().equals(PeerLink.this.self.vmId())) {
 					PeerLink.this.usage.recordReport(report, now);
 				}
 			}
+			if (newProcess) {
+				Peer sender = new Peer(received.get(0).vmId(), "", packet.sender());
+				send(context.channel(), new ReportTransfer(List.of(ownReport()), List.of(sender)));
+				context.flush();
+			}
 		}
 
 		@Override
--- a/gateway/src/main/java/org/skylarkstack/peers/PeerUsage.java
+++ b/gateway/src/main/java/org/skylarkstack/peers/PeerUsage.java
@@ -42,6 +42,9 @@
 	private ObjLongConsumer<CrashReport> crashListener = (report, nowNanos) -> {
 	};
 
+	private ObjLongConsumer<Long> configurationListener = (version, nowNanos) -> {
+	};
+
 	/**
 	 * Sets the listener for units that peers report.
 	 * @param listener called with the team and the current monotonic time in nanoseconds
@@ -60,6 +63,15 @@
 		this.crashListener = listener;
 	}
 
+	/**
+	 * Sets the listener for the configuration versions of peers.
+	 * @param listener called with the version in force at the sender of each report and
+	 * the current monotonic time in nanoseconds
+	 */
+	public void onConfigurationReported(ObjLongConsumer<Long> listener) {
+		this.configurationListener = listener;
+	}
+
 	/**
 	 * Sets the registered peers, and discards the reports of all other daemons.
 	 * @param peers the VM names of the other daemons
@@ -109,6 +121,17 @@
 		}
 		this.crashListener.accept(report.crashes(), nowNanos);
 		changedTeams.forEach((team) -> this.unitsListener.accept(team, nowNanos));
+		this.configurationListener.accept(report.configurationVersion(), nowNanos);
+	}
+
+	/**
+	 * Returns whether a report of the same process has been received before.
+	 * @param report the report
+	 * @return whether the latest report of its sender has the same incarnation
+	 */
+	boolean knowsProcess(UsageReport report) {
+		ReceivedReport previous = this.reports.get(report.vmId());
+		return previous != null && previous.report.incarnation() == report.incarnation();
 	}
 
 	private void removeMemory(UsageReport previous) {
--- a/gateway/src/main/java/org/skylarkstack/peers/UsageCodec.java
+++ b/gateway/src/main/java/org/skylarkstack/peers/UsageCodec.java
@@ -18,7 +18,7 @@
  */
 final class UsageCodec {
 
-	private static final int FORMAT_VERSION = 2;
+	private static final int FORMAT_VERSION = 3;
 
 	private UsageCodec() {
 	}
@@ -36,6 +36,7 @@
 				packer.packString(engine);
 			}
 			packCrashes(packer, report.crashes());
+			packer.packLong(report.configurationVersion());
 			return packer.toByteArray();
 		}
 		catch (IOException ex) {
@@ -96,7 +97,7 @@
 			while (unpacker.hasNext() && unpacker.unpackInt() == FORMAT_VERSION) {
 				reports.add(new UsageReport(unpacker.unpackString(), unpacker.unpackLong(), unpacker.unpackLong(),
 						unpackUnits(unpacker), unpackMemory(unpacker), Set.copyOf(unpackStrings(unpacker)),
-						unpackCrashes(unpacker)));
+						unpackCrashes(unpacker), unpacker.unpackLong()));
 			}
 		}
 		catch (IOException | MessagePackException ex) {
--- a/gateway/src/main/java/org/skylarkstack/peers/UsageReport.java
+++ b/gateway/src/main/java/org/skylarkstack/peers/UsageReport.java
@@ -15,9 +15,12 @@
  * @param memoryByEngine the memory of each of the sender's requests, by engine
  * @param enginesChangingRole the engines that the sender has ordered to change their role
  * @param crashes what the sender knows about crashes of backend servers
+ * @param configurationVersion the version of the configuration in force at the sender, or
+ * 0 if there is none
  */
 public record UsageReport(String vmId, long incarnation, long sequenceNumber, Map<String, Long> unitsByTeam,
-		Map<String, List<RequestMemory>> memoryByEngine, Set<String> enginesChangingRole, CrashReport crashes) {
+		Map<String, List<RequestMemory>> memoryByEngine, Set<String> enginesChangingRole, CrashReport crashes,
+		long configurationVersion) {
 
 	/**
 	 * Creates a report with unmodifiable copies of the collections.
--- a/gateway/src/test/java/org/skylarkstack/gateway/ConfigurationFreshnessTests.java
+++ b/gateway/src/test/java/org/skylarkstack/gateway/ConfigurationFreshnessTests.java
@@ -11,7 +11,9 @@
 
 	private static final long MILLI = 1_000_000;
 
-	private final ConfigurationFreshness freshness = new ConfigurationFreshness(4_500);
+	private final ConfigurationVersions versions = new ConfigurationVersions();
+
+	private final ConfigurationFreshness freshness = new ConfigurationFreshness(4_500, this.versions);
 
 	/** Guards against accepting keys before the configuration was ever read. */
 	@Test
@@ -57,4 +59,20 @@
 		assertThat(this.freshness.ageMillis(4_000 * MILLI, 54_000)).isEqualTo(1_000);
 	}
 
+	/**
+	 * Guards against accepting keys of a configuration that a restored store returned,
+	 * although a peer knows a newer one.
+	 */
+	@Test
+	void aRecentReadOfAnOutdatedVersionIsNotFresh() {
+		this.versions.recordApplied(3);
+		this.versions.recordStoreRestored(false, 0);
+		this.freshness.recordRead(0, 0);
+		assertThat(this.freshness.fresh(10 * MILLI, 10)).isTrue();
+		this.versions.recordReported(4, 20 * MILLI);
+		assertThat(this.freshness.fresh(30 * MILLI, 30)).isFalse();
+		this.versions.recordApplied(4);
+		assertThat(this.freshness.fresh(40 * MILLI, 40)).isTrue();
+	}
+
 }
--- a/gateway/src/test/java/org/skylarkstack/gateway/CrashSuspectsTests.java
+++ b/gateway/src/test/java/org/skylarkstack/gateway/CrashSuspectsTests.java
@@ -63,7 +63,7 @@
 	// Delivers the report of the second daemon to the first.
 	private void report(long nanos) {
 		this.peers.recordReport(new UsageReport("other", 1, ++this.reportNumber, Map.of(), Map.of(), Set.of(),
-				this.other.report(nanos)), nanos);
+				this.other.report(nanos), 0), nanos);
 	}
 
 	/**
@@ -142,7 +142,7 @@
 		report(SECOND);
 		CrashSuspects restarted = new CrashSuspects(this.peersOfOther, 1);
 		this.peersOfOther.recordReport(
-				new UsageReport("first", 1, 1, Map.of(), Map.of(), Set.of(), this.suspects.report(4 * SECOND)),
+				new UsageReport("first", 1, 1, Map.of(), Map.of(), Set.of(), this.suspects.report(4 * SECOND), 0),
 				4 * SECOND);
 		assertThat(refusal(restarted, request("c", "crashing"), 4 * SECOND)).isEqualTo(ErrorType.PROMPT_PART_BLOCKED);
 	}
@@ -160,7 +160,7 @@
 		crash(this.suspects, "s3", request("d", "other"), SECOND);
 		CrashReport report = new CrashReport(List.of(), Map.of(),
 				Map.of("model/harmless", new ReportedBlock(1, 0), "model/other", new ReportedBlock(1, 0)));
-		this.peers.recordReport(new UsageReport("other", 1, 1, Map.of(), Map.of(), Set.of(), report), SECOND);
+		this.peers.recordReport(new UsageReport("other", 1, 1, Map.of(), Map.of(), Set.of(), report, 0), SECOND);
 		assertThat(refusal(this.suspects, request("e", "other"), SECOND)).isEqualTo(ErrorType.PROMPT_PART_BLOCKED);
 		assertThat(refusal(this.suspects, request("f", "harmless"), SECOND)).isNull();
 	}
@@ -174,13 +174,13 @@
 		crash(this.suspects, "s1", request("a", "part"), 0);
 		crash(this.suspects, "s2", request("b", "part"), SECOND);
 		this.peersOfOther.recordReport(
-				new UsageReport("first", 1, 1, Map.of(), Map.of(), Set.of(), this.suspects.report(SECOND)), SECOND);
+				new UsageReport("first", 1, 1, Map.of(), Map.of(), Set.of(), this.suspects.report(SECOND), 0), SECOND);
 		assertThat(refusal(this.other, request("c", "part"), SECOND)).isEqualTo(ErrorType.PROMPT_PART_BLOCKED);
 		this.other.recordStarted(request("c", "part"), 4 * SECOND, 4 * SECOND);
 		report(5 * SECOND);
 		assertThat(refusal(this.suspects, request("c", "part"), 5 * SECOND)).isNull();
 		this.peersOfOther.recordReport(
-				new UsageReport("first", 1, 2, Map.of(), Map.of(), Set.of(), this.suspects.report(5 * SECOND)),
+				new UsageReport("first", 1, 2, Map.of(), Map.of(), Set.of(), this.suspects.report(5 * SECOND), 0),
 				5 * SECOND);
 		assertThat(refusal(this.other, request("c", "part"), 5 * SECOND)).isNull();
 	}
@@ -214,7 +214,7 @@
 				List.of(new ReportedCrash("s1", "a", List.of("model/part"), false, Long.MAX_VALUE),
 						new ReportedCrash("s2", "b", List.of("model/part"), false, Long.MIN_VALUE)),
 				Map.of("model/part", Long.MIN_VALUE), Map.of("model/other", new ReportedBlock(-7, Long.MIN_VALUE)));
-		this.peers.recordReport(new UsageReport("other", 1, 1, Map.of(), Map.of(), Set.of(), report), SECOND);
+		this.peers.recordReport(new UsageReport("other", 1, 1, Map.of(), Map.of(), Set.of(), report, 0), SECOND);
 		assertThat(refusal(this.suspects, request("c", "part"), 2 * SECOND)).isNull();
 		RouterException refusal = Objects.requireNonNull(this.suspects.refusal(request("d", "other"), 2 * SECOND));
 		assertThat(Objects.requireNonNull(refusal.retryAfter()).toSeconds()).isLessThan(91);
--- a/gateway/src/test/java/org/skylarkstack/gateway/CrashingPartFleet.java
+++ b/gateway/src/test/java/org/skylarkstack/gateway/CrashingPartFleet.java
@@ -394,7 +394,7 @@
 
 		private void send() {
 			UsageReport report = new UsageReport("vm-" + this.number, this.process, ++this.sequenceNumber, Map.of(),
-					Map.of(), Set.of(), this.suspects.report(CrashingPartFleet.this.now));
+					Map.of(), Set.of(), this.suspects.report(CrashingPartFleet.this.now), 0);
 			for (Daemon other : CrashingPartFleet.this.daemons) {
 				boolean sameGroup = other.number / GROUP_SIZE == this.number / GROUP_SIZE;
 				boolean relayed = sameGroup || this.sequenceNumber % RELAY_ROUNDS == 0;
--- a/gateway/src/test/java/org/skylarkstack/gateway/DecodeEngineChooserTests.java
+++ b/gateway/src/test/java/org/skylarkstack/gateway/DecodeEngineChooserTests.java
@@ -45,7 +45,7 @@
 	private void peersOccupy(String engine, int requests) {
 		List<RequestMemory> memory = java.util.Collections.nCopies(requests, REQUEST);
 		this.peers.recordReport(new UsageReport("peer", 1, System.nanoTime(), Map.of(), Map.of(engine, memory),
-				Set.of(), CrashReport.NONE), 0);
+				Set.of(), CrashReport.NONE, 0), 0);
 	}
 
 	/**
--- a/gateway/src/test/java/org/skylarkstack/gateway/EngineSamplerTests.java
+++ b/gateway/src/test/java/org/skylarkstack/gateway/EngineSamplerTests.java
@@ -100,8 +100,8 @@
 				for (int number = 1; number < ENGINES; number++) {
 					memoryByEngine.put("engine-" + number, List.of(REQUEST, REQUEST));
 				}
-				peers.recordReport(new UsageReport("vm-1", 1, 1, Map.of(), memoryByEngine, Set.of(), CrashReport.NONE),
-						0);
+				peers.recordReport(
+						new UsageReport("vm-1", 1, 1, Map.of(), memoryByEngine, Set.of(), CrashReport.NONE, 0), 0);
 				DecodeEngineChooser chooser = new DecodeEngineChooser(peers, "a",
 						new SplittableRandom(100L * seed + daemon));
 				BackendState found = chooser.choose(engines(), PROFILE, REQUEST, 0);
@@ -122,7 +122,7 @@
 		for (int number = 1; number < ENGINES; number++) {
 			memoryByEngine.put("engine-" + number, java.util.Collections.nCopies(12, REQUEST));
 		}
-		peers.recordReport(new UsageReport("vm-1", 1, 1, Map.of(), memoryByEngine, Set.of(), CrashReport.NONE), 0);
+		peers.recordReport(new UsageReport("vm-1", 1, 1, Map.of(), memoryByEngine, Set.of(), CrashReport.NONE, 0), 0);
 		DecodeEngineChooser chooser = new DecodeEngineChooser(peers, "a", new SplittableRandom(5));
 		BackendState found = chooser.choose(engines(), PROFILE, REQUEST, 0);
 		assertThat(Objects.requireNonNull(found).node().id()).isEqualTo("engine-0");
--- a/gateway/src/test/java/org/skylarkstack/gateway/TeamLimitsTests.java
+++ b/gateway/src/test/java/org/skylarkstack/gateway/TeamLimitsTests.java
@@ -31,7 +31,7 @@
 
 	private void report(long number, long taken, long nowMillis) {
 		this.peers.recordReport(
-				new UsageReport("peer", 1, number, Map.of("team", taken), Map.of(), Set.of(), CrashReport.NONE),
+				new UsageReport("peer", 1, number, Map.of("team", taken), Map.of(), Set.of(), CrashReport.NONE, 0),
 				nowMillis * MILLI);
 	}
 
--- a/gateway/src/test/java/org/skylarkstack/peers/FleetLimitTests.java
+++ b/gateway/src/test/java/org/skylarkstack/peers/FleetLimitTests.java
@@ -189,7 +189,7 @@
 
 		private UsageReport report() {
 			return new UsageReport(this.self.vmId(), 1, ++this.sequenceNumber, this.limits.unitsTaken(), Map.of(),
-					Set.of(), CrashReport.NONE);
+					Set.of(), CrashReport.NONE, 0);
 		}
 
 		private void send(ReportTransfer transfer) {
--- a/gateway/src/test/java/org/skylarkstack/peers/PeerUsageTests.java
+++ b/gateway/src/test/java/org/skylarkstack/peers/PeerUsageTests.java
@@ -21,7 +21,7 @@
 
 	private static UsageReport report(String vm, long incarnation, long number, long units) {
 		return new UsageReport(vm, incarnation, number, Map.of("team", units),
-				Map.of("engine", List.of(new RequestMemory(5_000, 100))), Set.of("moving"), CrashReport.NONE);
+				Map.of("engine", List.of(new RequestMemory(5_000, 100))), Set.of("moving"), CrashReport.NONE, 17);
 	}
 
 	/**
@@ -110,7 +110,7 @@
 	void newReportReplacesEnginesOfPreviousReport() {
 		this.usage.recordReport(report("a", 1, 1, 0), 0);
 		this.usage.recordReport(new UsageReport("a", 1, 2, Map.of(), Map.of("other", List.of(new RequestMemory(7, 1))),
-				Set.of(), CrashReport.NONE), 0);
+				Set.of(), CrashReport.NONE, 0), 0);
 		assertThat(this.usage.memoryOfPeers("engine", 0)).isEmpty();
 		assertThat(this.usage.memoryOfPeers("other", 0)).containsExactly(new RequestMemory(7, 1));
 	}
@@ -135,4 +135,16 @@
 		assertThat(this.usage.latestReportSince("a", 11 * MILLI)).isNull();
 	}
 
+	/**
+	 * Guards against a process that starts and waits for reports because its peers do not
+	 * see that it is new.
+	 */
+	@Test
+	void aRestartedProcessIsNotKnown() {
+		assertThat(this.usage.knowsProcess(report("a", 1, 1, 0))).isFalse();
+		this.usage.recordReport(report("a", 1, 1, 0), 0);
+		assertThat(this.usage.knowsProcess(report("a", 1, 2, 0))).isTrue();
+		assertThat(this.usage.knowsProcess(report("a", 2, 1, 0))).isFalse();
+	}
+
 }
