--- a/gateway/src/main/java/org/skylarkstack/gateway/GatewayState.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/GatewayState.java
@@ -42,11 +42,12 @@
 	 * Activates a configuration, unless its version is older than or equal to that of the
 	 * active one.
 	 * @param table the configuration
+	 * @return whether the configuration was activated
 	 */
-	public void apply(RoutingTable table) {
+	public boolean apply(RoutingTable table) {
 		RoutingTable previous = this.routing;
 		if (previous != null && previous.version() >= table.version()) {
-			return;
+			return false;
 		}
 		this.routing = table;
 		this.versions.recordApplied(table.version());
@@ -56,6 +57,7 @@
 			.addKeyValue("former", (previous != null) ? previous.version() : 0)
 			.addKeyValue("teams", table.teams().size())
 			.log();
+		return true;
 	}
 
 	/**
