--- a/gateway/src/main/java/org/skylarkstack/peers/PeerUsage.java
+++ b/gateway/src/main/java/org/skylarkstack/peers/PeerUsage.java
@@ -233,6 +233,17 @@
 		return liveDaemons(nowNanos) > this.registeredDaemons / 2;
 	}
 
+	/**
+	 * Returns whether a peer is live.
+	 * @param vmId the name of the peer's VM
+	 * @param nowNanos the current monotonic time in nanoseconds
+	 * @return whether a recent report of the peer has been received
+	 */
+	public boolean isLive(String vmId, long nowNanos) {
+		ReceivedReport received = this.reports.get(vmId);
+		return received != null && nowNanos - received.receivedNanos < PEER_TIMEOUT_NANOS;
+	}
+
 	/**
 	 * Returns the number of registered daemons, including this one.
 	 * @return the number, at least 1
