--- a/gateway/src/main/java/org/skylarkstack/gateway/GatewayState.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/GatewayState.java
@@ -19,6 +19,8 @@
 
 	private final BackendDirectory backends = new BackendDirectory();
 
+	private final ConfigurationVersions versions = new ConfigurationVersions();
+
 	private final ConfigurationFreshness freshness;
 
 	private @Nullable RoutingTable routing;
@@ -32,26 +34,30 @@
 	 * @param settings the settings, of which the revocation time is used
 	 */
 	public GatewayState(GatewaySettings settings) {
-		this.freshness = new ConfigurationFreshness((long) (MAX_AGE_SHARE * settings.revocationMillis()));
+		this.freshness = new ConfigurationFreshness((long) (MAX_AGE_SHARE * settings.revocationMillis()),
+				this.versions);
 	}
 
 	/**
 	 * Activates a configuration, unless its version is older than or equal to that of the
 	 * active one.
 	 * @param table the configuration
+	 * @return whether the configuration was activated
 	 */
-	public void apply(RoutingTable table) {
+	public boolean apply(RoutingTable table) {
 		RoutingTable previous = this.routing;
 		if (previous != null && previous.version() >= table.version()) {
-			return;
+			return false;
 		}
 		this.routing = table;
+		this.versions.recordApplied(table.version());
 		log.atInfo()
 			.addKeyValue("event", "configuration-applied")
 			.addKeyValue("version", table.version())
 			.addKeyValue("former", (previous != null) ? previous.version() : 0)
 			.addKeyValue("teams", table.teams().size())
 			.log();
+		return true;
 	}
 
 	/**
@@ -111,16 +117,26 @@
 		return this.drainWindow;
 	}
 
+	/**
+	 * Returns the versions of the configuration that this daemon and its peers know.
+	 * @return the versions, updated in place
+	 */
+	public ConfigurationVersions versions() {
+		return this.versions;
+	}
+
 	/**
 	 * Returns whether this daemon is ready for new connections.
 	 * @param nowNanos the current monotonic time in nanoseconds
 	 * @param nowEpochMillis the current wall-clock time in milliseconds since the epoch
-	 * @return whether the daemon is not stopping, has read a configuration and the
-	 * backend servers, and has a fresh configuration if keys are required
+	 * @return whether the daemon is not stopping, has read a configuration that is not
+	 * known to be outdated and the backend servers, and has a fresh configuration if keys
+	 * are required
 	 */
 	public boolean ready(long nowNanos, long nowEpochMillis) {
 		RoutingTable table = this.routing;
 		return !this.drainWindow.isClosing() && table != null && this.backendsLoaded
+				&& !this.versions.mayBeOutdated(nowNanos)
 				&& (table.teams().isEmpty() || this.freshness.fresh(nowNanos, nowEpochMillis));
 	}
 
--- a/gateway/src/main/java/org/skylarkstack/peers/UsageCodec.java
+++ b/gateway/src/main/java/org/skylarkstack/peers/UsageCodec.java
@@ -18,7 +18,7 @@
  */
 final class UsageCodec {
 
-	private static final int FORMAT_VERSION = 2;
+	private static final int FORMAT_VERSION = 3;
 
 	private static final long MAX_AMOUNT = 1L << 40;
 
@@ -38,6 +38,7 @@
 				packer.packString(engine);
 			}
 			packCrashes(packer, report.crashes());
+			packer.packLong(report.configurationVersion());
 			return packer.toByteArray();
 		}
 		catch (IOException ex) {
@@ -98,7 +99,7 @@
 			while (unpacker.hasNext() && unpacker.unpackInt() == FORMAT_VERSION) {
 				reports.add(new UsageReport(unpacker.unpackString(), unpacker.unpackLong(), unpacker.unpackLong(),
 						unpackUnits(unpacker), unpackMemory(unpacker), Set.copyOf(unpackStrings(unpacker)),
-						unpackCrashes(unpacker)));
+						unpackCrashes(unpacker), unpacker.unpackLong()));
 			}
 		}
 		catch (IOException | MessagePackException ex) {
--- a/gateway/src/test/java/org/skylarkstack/gateway/CrashingPartFleet.java
+++ b/gateway/src/test/java/org/skylarkstack/gateway/CrashingPartFleet.java
@@ -283,7 +283,7 @@
 		}
 
 		BackendNode node() {
-			return new BackendNode("engine-" + this.number, this.incarnation, "model",
+			return new BackendNode("engine-" + this.number, this.incarnation, 1, "model",
 					new InetSocketAddress("127.0.0.1", 1), "a", 8, false, BackendRole.DECODE);
 		}
 
@@ -395,7 +395,7 @@
 
 		private void send() {
 			UsageReport report = new UsageReport("vm-" + this.number, this.process, ++this.sequenceNumber, Map.of(),
-					Map.of(), Set.of(), this.suspects.report(CrashingPartFleet.this.now));
+					Map.of(), Set.of(), this.suspects.report(CrashingPartFleet.this.now), 0);
 			for (Daemon other : CrashingPartFleet.this.daemons) {
 				boolean sameGroup = other.number / GROUP_SIZE == this.number / GROUP_SIZE;
 				boolean relayed = sameGroup || this.sequenceNumber % RELAY_ROUNDS == 0;
--- a/gateway/src/test/java/org/skylarkstack/gateway/EngineSamplerTests.java
+++ b/gateway/src/test/java/org/skylarkstack/gateway/EngineSamplerTests.java
@@ -36,7 +36,7 @@
 	private static List<BackendState> engines() {
 		List<BackendState> engines = new ArrayList<>();
 		for (int number = 0; number < ENGINES; number++) {
-			engines.add(new BackendState(new BackendNode("engine-" + number, 1, "s",
+			engines.add(new BackendState(new BackendNode("engine-" + number, 1, 1, "s",
 					new InetSocketAddress("127.0.0.1", 1), "a", 64, false, BackendRole.DECODE)));
 		}
 		return engines;
@@ -79,8 +79,8 @@
 	@Test
 	void enginesOfTheDataCentreComeFirst() {
 		List<BackendState> engines = engines();
-		BackendState near = new BackendState(new BackendNode("near", 1, "s", new InetSocketAddress("127.0.0.1", 1), "b",
-				64, false, BackendRole.DECODE));
+		BackendState near = new BackendState(new BackendNode("near", 1, 1, "s", new InetSocketAddress("127.0.0.1", 1),
+				"b", 64, false, BackendRole.DECODE));
 		engines.add(near);
 		assertThat(EngineSampler.shuffledLocalFirst(engines, "b", new SplittableRandom(3)).get(0)).isEqualTo(near);
 	}
@@ -100,8 +100,8 @@
 				for (int number = 1; number < ENGINES; number++) {
 					memoryByEngine.put("engine-" + number, List.of(REQUEST, REQUEST));
 				}
-				peers.recordReport(new UsageReport("vm-1", 1, 1, Map.of(), memoryByEngine, Set.of(), CrashReport.NONE),
-						0);
+				peers.recordReport(
+						new UsageReport("vm-1", 1, 1, Map.of(), memoryByEngine, Set.of(), CrashReport.NONE, 0), 0);
 				DecodeEngineChooser chooser = new DecodeEngineChooser(peers, "a",
 						new SplittableRandom(100L * seed + daemon));
 				BackendState found = chooser.choose(engines(), PROFILE, REQUEST, 0);
@@ -122,7 +122,7 @@
 		for (int number = 1; number < ENGINES; number++) {
 			memoryByEngine.put("engine-" + number, java.util.Collections.nCopies(12, REQUEST));
 		}
-		peers.recordReport(new UsageReport("vm-1", 1, 1, Map.of(), memoryByEngine, Set.of(), CrashReport.NONE), 0);
+		peers.recordReport(new UsageReport("vm-1", 1, 1, Map.of(), memoryByEngine, Set.of(), CrashReport.NONE, 0), 0);
 		DecodeEngineChooser chooser = new DecodeEngineChooser(peers, "a", new SplittableRandom(5));
 		BackendState found = chooser.choose(engines(), PROFILE, REQUEST, 0);
 		assertThat(Objects.requireNonNull(found).node().id()).isEqualTo("engine-0");
--- a/gateway/src/test/java/org/skylarkstack/peers/UsageCodecTests.java
+++ b/gateway/src/test/java/org/skylarkstack/peers/UsageCodecTests.java
@@ -28,7 +28,8 @@
 				Map.of("engine", List.of(new RequestMemory(tokens, tokens), new RequestMemory(tokens, tokens))),
 				Set.of("moving"),
 				new CrashReport(List.of(new ReportedCrash("crash", "request", List.of("part"), true, 5)),
-						Map.of("part", 7L), Map.of("part", new ReportedBlock(1, 9))));
+						Map.of("part", 7L), Map.of("part", new ReportedBlock(1, 9))),
+				3);
 	}
 
 	/** Guards against a datagram that ends the thread or makes it allocate or loop. */
