Do not cut off a response that its caller is still reading at a stop

What callers would see: from 3.2 s after SIGTERM on, a response that was complete for the daemon but not yet sent was cut off at the next poll, for slow callers, large responses or a squeezed link. The delay that lets a caller receive the last response before its connection closes shrank to 0.1 s.

Cause: a connection counted as idle once its exchange had ended, although its bytes waited to be sent.

EdgeServerTests.aStopDoesNotCutOffAResponseThatIsBeingRead failed before: fewer than 32 MiB arrived.

--- a/gateway/src/main/java/org/skylarkstack/edge/CallerConnection.java
+++ b/gateway/src/main/java/org/skylarkstack/edge/CallerConnection.java
@@ -61,6 +61,8 @@
 
 	private boolean ignoringInput;
 
+	private boolean lingering;
+
 	private boolean receiving;
 
 	private long receivingSinceNanos;
@@ -224,6 +226,7 @@
 	// reads only later. A caller that never reads it is disconnected as an idle one.
 	private void closeAfterLinger() {
 		this.ignoringInput = true;
+		this.lingering = true;
 		this.idleSinceNanos = System.nanoTime();
 		Channel open = channel();
 		open.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener((future) -> {
@@ -235,7 +238,7 @@
 	}
 
 	void closeIfIdle() {
-		if (this.exchange == null && this.head == null && !this.receiving) {
+		if (this.exchange == null && this.head == null && !this.receiving && !this.lingering) {
 			channel().close();
 		}
 	}
--- a/gateway/src/test/java/org/skylarkstack/edge/EdgeServerTests.java
+++ b/gateway/src/test/java/org/skylarkstack/edge/EdgeServerTests.java
@@ -257,6 +257,22 @@
 		assertThat(openConnections()).isEqualTo(0);
 	}
 
+	/**
+	 * Guards against a response that a stop cuts off because its caller has not read it
+	 * yet.
+	 */
+	@Test
+	void aStopDoesNotCutOffAResponseThatIsBeingRead() throws Exception {
+		try (Socket socket = connect("GET /large HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")) {
+			assertThat(event()).startsWith("GET /large");
+			for (int poll = 0; poll < 5; poll++) {
+				this.group.next().execute(this.server::closeIdle);
+				Thread.sleep(100);
+			}
+			assertThat(socket.getInputStream().readAllBytes().length).isAtLeast(LARGE_BYTES);
+		}
+	}
+
 	private int openConnections() {
 		return this.group.next().submit(this.server::openConnections).syncUninterruptibly().getNow();
 	}
