Answer requests that wait behind another response when a stop begins

What callers would see: a request that had been received behind a longer response on the same connection was dropped without an answer, because the daemon closed the connection after the first response, also if that response had not announced it.

A stop now closes a connection only after the last request that was received on it, or after a response that has announced the end. EdgeServerTests.pipelinedRequestsAreAnsweredDuringShutdown failed before: the second request had no response.

--- a/gateway/src/main/java/org/skylarkstack/edge/CallerConnection.java
+++ b/gateway/src/main/java/org/skylarkstack/edge/CallerConnection.java
@@ -299,6 +299,8 @@
 
 		private boolean done;
 
+		private boolean closeAnnounced;
+
 		Exchange(boolean closeAfter) {
 			this.closeAfter = closeAfter;
 		}
@@ -331,12 +333,18 @@
 		}
 
 		private boolean markClose(HttpResponse response) {
-			boolean close = this.closeAfter || CallerConnection.this.server.isClosing()
-					|| CallerConnection.this.ignoringInput;
-			if (close) {
+			this.closeAnnounced = closesAfterResponse();
+			if (this.closeAnnounced) {
 				response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
 			}
-			return close;
+			return this.closeAnnounced;
+		}
+
+		// Requests that have been received are answered before a stop closes the
+		// connection.
+		private boolean closesAfterResponse() {
+			return this.closeAfter || CallerConnection.this.ignoringInput
+					|| (CallerConnection.this.server.isClosing() && CallerConnection.this.pipelined.isEmpty());
 		}
 
 		@Override
@@ -353,8 +361,7 @@
 			}
 			this.done = true;
 			channel().writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
-			exchangeEnded(
-					this.closeAfter || CallerConnection.this.server.isClosing() || CallerConnection.this.ignoringInput);
+			exchangeEnded(this.closeAnnounced || closesAfterResponse());
 		}
 
 		@Override
--- a/gateway/src/test/java/org/skylarkstack/edge/EdgeServerTests.java
+++ b/gateway/src/test/java/org/skylarkstack/edge/EdgeServerTests.java
@@ -210,6 +210,25 @@
 		}
 	}
 
+	/**
+	 * Guards against requests that were received behind a longer response and are dropped
+	 * when a stop closes the connection.
+	 */
+	@Test
+	void pipelinedRequestsAreAnsweredDuringShutdown() throws Exception {
+		try (Socket socket = connect("GET /hold HTTP/1.1\r\nHost: x\r\n\r\nGET /b HTTP/1.1\r\nHost: x\r\n\r\n")) {
+			assertThat(event()).startsWith("GET /hold");
+			Thread.sleep(200);
+			this.group.next().execute(() -> {
+				this.server.announceClose();
+				this.held.remove().send(200, new DefaultHttpHeaders(), new byte[0]);
+			});
+			String text = readAll(socket);
+			assertThat(text).contains("/b");
+			assertThat(text.toLowerCase(java.util.Locale.ROOT).split("connection: close")).hasLength(2);
+		}
+	}
+
 	/**
 	 * Guards against a connection that is reset at a stop although its caller has sent a
 	 * request, because it was still waiting in the backlog.
