Go on admitting streams after an error while the queues are processed

What callers would see: all later streams at a VM wait until they are refused.

Cause: the refusal of a stream may start the next request of its connection. If that is the first stream of another service, a queue is added while the queues are iterated; the exception left the flag set that keeps the method from being entered twice.

--- a/gateway/src/main/java/org/skylarkstack/gateway/StreamAdmission.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/StreamAdmission.java
@@ -131,13 +131,19 @@
 		this.advancing = true;
 		long now = System.nanoTime();
 		boolean anyWaiting = false;
-		for (Map.Entry<String, StreamQueue> entry : this.queues.entrySet()) {
-			if (entry.getValue().size() > 0) {
-				advance(entry.getKey(), entry.getValue(), now);
-				anyWaiting |= entry.getValue().size() > 0;
+		try {
+			// A refusal may start the next request of its connection, which may add a
+			// queue.
+			for (Map.Entry<String, StreamQueue> entry : List.copyOf(this.queues.entrySet())) {
+				if (entry.getValue().size() > 0) {
+					advance(entry.getKey(), entry.getValue(), now);
+				}
 			}
+			anyWaiting = this.queues.values().stream().anyMatch((queue) -> queue.size() > 0);
+		}
+		finally {
+			this.advancing = false;
 		}
-		this.advancing = false;
 		if (anyWaiting && !this.pollScheduled) {
 			this.pollScheduled = true;
 			this.loop.schedule(() -> {
