Begin the wait for peers after a restore when the peers are known

What callers would see: a VM that starts after a restore accepts withdrawn keys if its read of the list of daemons fails for 0.6 s, because no peer can have reported by then.

The time that peers have for their reports now begins with the first list, and the wait for the list is bounded by 3 s. A second restore no longer ends a running wait. ConfigurationVersionsTests has two new tests; aStartWaitsForPeersForAShortTimeOnly now records the list first, at the time at which the wait began before, and keeps its bounds.

--- a/gateway/src/main/java/org/skylarkstack/gateway/ConfigurationVersions.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/ConfigurationVersions.java
@@ -19,6 +19,9 @@
 	// lost.
 	private static final long PEER_WAIT_NANOS = 600_000_000L;
 
+	// Bounds the wait for the list of peers, without which no peer can report.
+	private static final long LIST_WAIT_NANOS = 3_000_000_000L;
+
 	private static final long MIN_READ_INTERVAL_NANOS = 1_000_000_000L;
 
 	private long inForce;
@@ -33,6 +36,8 @@
 
 	private long awaitingSinceNanos;
 
+	private boolean peersListed;
+
 	private boolean readRequested;
 
 	private long readRequestedNanos;
@@ -76,17 +81,30 @@
 	 */
 	public void recordStoreRestored(boolean awaitPeers, long nowNanos) {
 		this.storeRestored = true;
-		this.awaitingPeers = awaitPeers;
+		this.awaitingPeers = awaitPeers || awaitsPeers(nowNanos);
 		this.awaitingSinceNanos = nowNanos;
 	}
 
+	/**
+	 * Records that the list of peers has been read. Their time to report begins with the
+	 * first list.
+	 * @param nowNanos the current monotonic time in nanoseconds
+	 */
+	public void recordPeersListed(long nowNanos) {
+		if (!this.peersListed) {
+			this.peersListed = true;
+			this.awaitingSinceNanos = nowNanos;
+		}
+	}
+
 	/**
 	 * Returns whether peers are still given time to report a newer version.
 	 * @param nowNanos the current monotonic time in nanoseconds
 	 * @return whether the version in force may be outdated for this reason
 	 */
 	public boolean awaitsPeers(long nowNanos) {
-		return this.awaitingPeers && nowNanos - this.awaitingSinceNanos < PEER_WAIT_NANOS;
+		long maxWaitNanos = this.peersListed ? PEER_WAIT_NANOS : LIST_WAIT_NANOS;
+		return this.awaitingPeers && nowNanos - this.awaitingSinceNanos < maxWaitNanos;
 	}
 
 	/** Records that every other daemon has reported its version. */
--- a/gateway/src/test/java/org/skylarkstack/gateway/ConfigurationVersionsTests.java
+++ b/gateway/src/test/java/org/skylarkstack/gateway/ConfigurationVersionsTests.java
@@ -61,6 +61,7 @@
 	@Test
 	void aStartWaitsForPeersForAShortTimeOnly() {
 		this.versions.recordStoreRestored(true, 0);
+		this.versions.recordPeersListed(0);
 		this.versions.recordApplied(3);
 		assertThat(this.versions.mayBeOutdated(500 * MILLI)).isTrue();
 		assertThat(this.versions.mayBeOutdated(700 * MILLI)).isFalse();
@@ -69,4 +70,27 @@
 		assertThat(this.versions.mayBeOutdated(1_100 * MILLI)).isFalse();
 	}
 
+	/**
+	 * Guards against a start that trusts an older copy of the store because the list of
+	 * its peers came late.
+	 */
+	@Test
+	void thePeersTimeBeginsWhenTheyAreKnown() {
+		this.versions.recordStoreRestored(true, 0);
+		this.versions.recordApplied(3);
+		assertThat(this.versions.mayBeOutdated(2_000 * MILLI)).isTrue();
+		this.versions.recordPeersListed(2_000 * MILLI);
+		assertThat(this.versions.mayBeOutdated(2_500 * MILLI)).isTrue();
+		assertThat(this.versions.mayBeOutdated(2_700 * MILLI)).isFalse();
+	}
+
+	/** Guards against a start that waits for good because the list cannot be read. */
+	@Test
+	void theWaitForTheListOfPeersIsBounded() {
+		this.versions.recordStoreRestored(true, 0);
+		this.versions.recordApplied(3);
+		assertThat(this.versions.mayBeOutdated(2_900 * MILLI)).isTrue();
+		assertThat(this.versions.mayBeOutdated(3_000 * MILLI)).isFalse();
+	}
+
 }
