Assume the latency target for routes without a response during a stop

A route that a VM has not served yet counted with the whole time that its callers allow, so that short requests with a long timeout were refused from the beginning of a stop, by every VM if all stop together. Plain services now count with the latency target of the route until their first response. Streams without statistics still count with the longest time.

--- a/gateway/src/main/java/org/skylarkstack/gateway/CompletionTimeEstimator.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/CompletionTimeEstimator.java
@@ -45,12 +45,13 @@
 	/**
 	 * Returns the time that a response of a route takes.
 	 * @param route the name of the route
+	 * @param targetMillis the latency target of the route, in milliseconds
 	 * @param maxMillis the longest time that it may take, in milliseconds
-	 * @return the estimate in milliseconds; {@code maxMillis} if no response is known
+	 * @return the estimate in milliseconds; the latency target if no response is known
 	 */
-	long responseMillis(String route, long maxMillis) {
+	long responseMillis(String route, long targetMillis, long maxMillis) {
 		DelayStatistics known = this.responseMillis.get(route);
-		return (known != null) ? Math.min(maxMillis, (long) known.upper(RESPONSE_DEVIATIONS)) : maxMillis;
+		return Math.min(maxMillis, (known != null) ? (long) known.upper(RESPONSE_DEVIATIONS) : targetMillis);
 	}
 
 	/**
--- a/gateway/src/main/java/org/skylarkstack/gateway/ServiceExchange.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/ServiceExchange.java
@@ -36,7 +36,8 @@
 	@Override
 	long requiredMillis(long nowNanos) {
 		return components().completionTimes()
-			.responseMillis(context().route().name(), context().remainingMillis(nowNanos));
+			.responseMillis(context().route().name(), context().route().targetMillis(),
+					context().remainingMillis(nowNanos));
 	}
 
 	private void attempt(@Nullable BackendFailure lastFailure) {
