--- a/gateway/src/test/java/org/skylarkstack/gateway/CompletionTimeEstimatorTests.java
+++ b/gateway/src/test/java/org/skylarkstack/gateway/CompletionTimeEstimatorTests.java
@@ -43,7 +43,7 @@
 		SplittableRandom random = new SplittableRandom(1);
 		int longer = 0;
 		for (int response = 0; response < STREAMS; response++) {
-			long millis = random.nextInt(50) == 0 ? random.nextLong(100, 220) : random.nextLong(15, 60);
+			long millis = (random.nextInt(50) == 0) ? random.nextLong(100, 220) : random.nextLong(15, 60);
 			longer += (millis > this.times.responseMillis("route", TARGET_MILLIS, MAX_MILLIS)) ? 1 : 0;
 			this.times.recordResponse("route", millis);
 		}
--- a/runtime/src/main/java/org/skylarkstack/configuration/TicketLogRecovery.java
+++ b/runtime/src/main/java/org/skylarkstack/configuration/TicketLogRecovery.java
@@ -168,11 +168,9 @@
 		return tickets;
 	}
 
-	/**
-	 * Returns a ticket with the objects that a ticket has set and no later ticket has
-	 * changed. Used for tickets that this daemon has only as part of a snapshot; merging
-	 * the result has the same effect, because the later tickets are recorded as well.
-	 */
+	// Contains the objects that the ticket has set and no later one has changed. Merging
+	// it has the same effect as the ticket, because the later tickets are recorded as
+	// well.
 	private static Ticket reconstruct(Configuration current, long number) {
 		List<TicketChange> changes = current.objects()
 			.entrySet()
--- a/runtime/src/test/java/org/skylarkstack/configuration/RestoredTicketLogTests.java
+++ b/runtime/src/test/java/org/skylarkstack/configuration/RestoredTicketLogTests.java
@@ -1,6 +1,5 @@
 package org.skylarkstack.configuration;
 
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -236,8 +235,12 @@
 		for (int action = 0; action < 200; action++) {
 			Daemon daemon = this.daemons.get(random.nextInt(this.daemons.size()));
 			this.now += random.nextLong(TicketLogRecovery.COMPARISON_PERIOD_NANOS);
-			switch (random.nextInt(10)) {
-				case 0 -> copy = this.store.copy();
+			int kind = random.nextInt(10);
+			if (kind == 0) {
+				copy = this.store.copy();
+				continue;
+			}
+			switch (kind) {
 				case 1 -> this.store.restore(copy);
 				case 2, 3, 4 -> submitNext(daemon, "team-" + action, random.nextInt(3), confirmed);
 				default -> daemon.poll();
--- a/standin/src/main/java/org/skylarkstack/standin/StandInTable.java
+++ b/standin/src/main/java/org/skylarkstack/standin/StandInTable.java
@@ -58,7 +58,10 @@
 		return Map.copyOf(this.items);
 	}
 
-	/** Replaces all items by those of an earlier copy. */
+	/**
+	 * Replaces all items by those of an earlier copy.
+	 * @param copy the copy
+	 */
 	synchronized void restore(Map<String, JsonNode> copy) {
 		this.items.clear();
 		this.items.putAll(copy);
