--- a/gateway/src/main/java/org/skylarkstack/gateway/ConfigurationVersions.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/ConfigurationVersions.java
@@ -14,9 +14,8 @@
 
 	private static final long REPORT_EXPIRY_NANOS = 10_000_000_000L;
 
-	// Three report periods: a peer that runs has answered by then, even if one datagram
-	// was
-	// lost.
+	// Three report periods: a peer that runs has answered by then, even if one
+	// datagram was lost.
 	private static final long PEER_WAIT_NANOS = 600_000_000L;
 
 	// Bounds the wait for the list of peers, without which no peer can report.
--- a/runtime/src/test/java/org/skylarkstack/http/CallerApiTests.java
+++ b/runtime/src/test/java/org/skylarkstack/http/CallerApiTests.java
@@ -234,8 +234,7 @@
 	}
 
 	// Guards against a request that stays open, with its engine memory, because its
-	// caller
-	// keeps the connection open but reads nothing.
+	// caller keeps the connection open but reads nothing.
 	@Test
 	void callerThatDoesNotReadIsGivenUp() throws Exception {
 		this.fixture.setOutput(2_000, "x".repeat(20_000));
