Check the reserved decode engine again after the prompt is processed

LeavingServerTests failed before: the stream came from the engine that had left. It now goes to another decode engine with the same prefill result.

--- a/gateway/src/main/java/org/skylarkstack/gateway/BackendDirectory.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/BackendDirectory.java
@@ -98,6 +98,15 @@
 		return found;
 	}
 
+	/**
+	 * Returns whether a server that was chosen before may still get new requests.
+	 * @param chosen the state of the server when it was chosen
+	 * @return {@code false} if it has been removed, restarted or is draining
+	 */
+	boolean isAvailable(BackendState chosen) {
+		return this.states.get(chosen.node().id()) == chosen && !chosen.node().draining();
+	}
+
 	/**
 	 * Returns the state of a server.
 	 * @param id the identifier of the server
--- a/gateway/src/main/java/org/skylarkstack/gateway/StreamExchange.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/StreamExchange.java
@@ -284,7 +284,8 @@
 			release();
 		}
 		BackendState engine = this.reservations.decodeEngine();
-		if (engine == null || tried().contains(engine.node().id())) {
+		if (engine == null || tried().contains(engine.node().id())
+				|| !components().state().backends().isAvailable(engine)) {
 			engine = components().admission()
 				.chooseDecodeEngine(context().service().name(), this.profile, tried(), memory());
 		}
