Read the limit that a server names, and log its changes

Nothing read Server-Limit, and no line of a log named it, so the hypotheses of the incident could not be told apart. The header is decoded, and a line shows each change with the request that brought it. No decision depends on it yet.

--- a/gateway/src/main/java/org/skylarkstack/gateway/Attempt.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/Attempt.java
@@ -75,6 +75,7 @@
 	public final void head(int status, HttpHeaders received) {
 		this.headers = received;
 		this.responseHead = this.exchange.components().dialect().responseHead(status, received);
+		server().recordNotice(this.responseHead.notice(), this.exchange.context().facts().requestId());
 		if (this.responseHead.requestsAtServer() >= 0) {
 			server().recordLoadReport(this.responseHead.requestsAtServer(), System.nanoTime());
 		}
--- a/gateway/src/main/java/org/skylarkstack/gateway/ResponseHead.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/ResponseHead.java
@@ -8,8 +8,9 @@
  * @param signed whether the response carries the server's signature
  * @param requestsAtServer the number of requests running and waiting at the server, or a
  * negative number if not reported
+ * @param notice what the server states about itself
  */
-public record ResponseHead(int status, boolean notExecuted, boolean signed, int requestsAtServer) {
+public record ResponseHead(int status, boolean notExecuted, boolean signed, int requestsAtServer, ServerNotice notice) {
 
 	/**
 	 * Returns whether the response is a success.
