Keep the limits that servers name, in parts for the daemons

Cause: nothing read the limit, so that neither the choice of a server nor the sum over the VMs depended on it. Class: a statement of a server about itself that has no owner.

ServerCondition owns what one incarnation of a server has stated in its responses, also while its entry is missing. ServerLimit is a bucket of one request for this daemon's part of the limit; LimitShares gives equal parts to so many daemons that all of them together may send at the same time. Prompts, responses, retries, releases and role orders count.

--- a/gateway/src/main/java/org/skylarkstack/gateway/Attempt.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/Attempt.java
@@ -75,7 +75,8 @@
 	public final void head(int status, HttpHeaders received) {
 		this.headers = received;
 		this.responseHead = this.exchange.components().dialect().responseHead(status, received);
-		server().recordNotice(this.responseHead.notice(), this.exchange.context().facts().requestId());
+		server().condition()
+			.apply(this.responseHead.notice(), this.exchange.context().facts().requestId(), System.nanoTime());
 		if (this.responseHead.requestsAtServer() >= 0) {
 			server().recordLoadReport(this.responseHead.requestsAtServer(), System.nanoTime());
 		}
@@ -101,6 +102,11 @@
 		return false;
 	}
 
+	/** Counts this attempt as a request of the server that it is bound to. */
+	void countRequest() {
+		server().condition().countRequest(this.startedNanos);
+	}
+
 	final long sentNanos() {
 		return this.startedNanos;
 	}
--- a/gateway/src/main/java/org/skylarkstack/gateway/BackendDirectory.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/BackendDirectory.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Predicate;
@@ -20,6 +21,27 @@
 
 	private final AnnouncementOrder order = new AnnouncementOrder();
 
+	private final LimitShares shares;
+
+	private final Map<String, ServerCondition> conditions = new LinkedHashMap<>() {
+
+		private static final long serialVersionUID = 1L;
+
+		@Override
+		protected boolean removeEldestEntry(Map.Entry<String, ServerCondition> eldest) {
+			return size() > BackendDirectory.this.states.size() + AnnouncementOrder.MAX_REMOVED_SERVERS;
+		}
+
+	};
+
+	/**
+	 * Creates a directory without servers.
+	 * @param shares divides the limits of servers among the daemons
+	 */
+	public BackendDirectory(LimitShares shares) {
+		this.shares = shares;
+	}
+
 	/**
 	 * Registers an announced server, unless a later statement about it is known.
 	 * @param announced the announced server
@@ -49,11 +71,19 @@
 			state.update(current);
 		}
 		else {
-			this.states.put(current.id(), new BackendState(current));
+			this.states.put(current.id(), new BackendState(current, condition(current)));
 		}
 		return true;
 	}
 
+	private ServerCondition condition(BackendNode node) {
+		ServerCondition known = this.conditions.remove(node.id());
+		ServerCondition current = (known != null && known.belongsTo(node)) ? known
+				: new ServerCondition(node.id(), node.startedMillis(), this.shares);
+		this.conditions.put(node.id(), current);
+		return current;
+	}
+
 	/**
 	 * Removes a server that is no longer announced.
 	 * @param id the identifier of the server
@@ -98,6 +128,52 @@
 		return found;
 	}
 
+	/**
+	 * Returns the servers that take a request of this daemon now.
+	 * @param service the service that the servers belong to
+	 * @param role the role that the servers have
+	 * @param exclude matches the servers to leave out
+	 * @param nowNanos the current monotonic time in nanoseconds
+	 * @return the servers, in no particular order
+	 */
+	List<BackendState> accepting(String service, BackendRole role, Predicate<BackendNode> exclude, long nowNanos) {
+		List<BackendState> found = candidates(service, role, exclude);
+		found.removeIf((state) -> !state.condition().accepts(nowNanos));
+		return found;
+	}
+
+	/**
+	 * Returns when a server of a service takes a request of this daemon.
+	 * @param service the service
+	 * @param role the role that the server has
+	 * @param exclude matches the servers to leave out
+	 * @param nowNanos the current monotonic time in nanoseconds
+	 * @return the time until then in nanoseconds, 0 if one takes a request now or there
+	 * is none
+	 */
+	long waitNanos(String service, BackendRole role, Predicate<BackendNode> exclude, long nowNanos) {
+		return candidates(service, role, exclude).stream()
+			.mapToLong((state) -> state.condition().waitNanos(nowNanos))
+			.min()
+			.orElse(0);
+	}
+
+	/**
+	 * Returns when a server of a service takes a request of some daemon. Refused callers
+	 * mostly reach another daemon when they try again.
+	 * @param service the service
+	 * @param role the role that the server has
+	 * @param nowNanos the current monotonic time in nanoseconds
+	 * @return the time until then in nanoseconds, 0 if one takes a request now or there
+	 * is none
+	 */
+	long fleetWaitNanos(String service, BackendRole role, long nowNanos) {
+		return candidates(service, role, (node) -> false).stream()
+			.mapToLong((state) -> state.condition().fleetWaitNanos(nowNanos))
+			.min()
+			.orElse(0);
+	}
+
 	/**
 	 * Returns whether a server that was chosen before may still get new requests.
 	 * @param chosen the state of the server when it was chosen
--- a/gateway/src/main/java/org/skylarkstack/gateway/BackendState.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/BackendState.java
@@ -5,8 +5,6 @@
 import java.util.Set;
 
 import org.skylarkstack.peers.RequestMemory;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /**
  * Load and health of one incarnation of a backend server, as observed by this daemon.
@@ -20,8 +18,6 @@
  */
 public final class BackendState {
 
-	private static final Logger log = LoggerFactory.getLogger(BackendState.class);
-
 	private static final long INITIAL_AVOID_NANOS = 400_000_000L;
 
 	private static final long INITIAL_FULL_NANOS = 250_000_000L;
@@ -60,10 +56,11 @@
 
 	private int consecutiveFullRefusals;
 
-	private ServerNotice notice = ServerNotice.NONE;
+	private final ServerCondition condition;
 
-	BackendState(BackendNode node) {
+	BackendState(BackendNode node, ServerCondition condition) {
 		this.node = node;
+		this.condition = condition;
 	}
 
 	/**
@@ -74,6 +71,14 @@
 		return this.node;
 	}
 
+	/**
+	 * Returns what this incarnation has stated about itself in its responses.
+	 * @return the condition, which outlives this state
+	 */
+	ServerCondition condition() {
+		return this.condition;
+	}
+
 	void update(BackendNode announced) {
 		this.node = announced;
 	}
@@ -105,27 +110,6 @@
 		return this.openRequests;
 	}
 
-	/**
-	 * Records what the server states about itself. A limit that cannot be read leaves the
-	 * former one in force.
-	 * @param received the notice of its latest response
-	 * @param requestId the request that it answered
-	 */
-	void recordNotice(ServerNotice received, String requestId) {
-		double limit = received.limitPerSecond();
-		if (Double.isNaN(limit) || limit == this.notice.limitPerSecond()) {
-			return;
-		}
-		log.atInfo()
-			.addKeyValue("event", "server-limit-changed")
-			.addKeyValue("server", this.node.id())
-			.addKeyValue("perSecond", limit)
-			.addKeyValue("former", this.notice.limitPerSecond())
-			.addKeyValue("id", requestId)
-			.log();
-		this.notice = received;
-	}
-
 	/**
 	 * Updates the error share with a response.
 	 * @param error whether the response was a server error
--- a/gateway/src/main/java/org/skylarkstack/gateway/EngineReservations.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/EngineReservations.java
@@ -17,6 +17,9 @@
 
 	private @Nullable BackendState prefillEngine;
 
+	// Whether a request was counted for the decode engine and has not been sent yet.
+	private boolean decodeCounted;
+
 	/**
 	 * Creates the reservations of a request, none of which is held yet.
 	 * @param facts the caller's statements about the request
@@ -50,13 +53,21 @@
 
 	/**
 	 * Reserves memory at a decode engine and releases the reservation at the previous
-	 * one.
+	 * one. The request counts towards the limit of the engine from now on.
 	 * @param engine the decode engine that will generate the response
+	 * @param nowNanos the current monotonic time in nanoseconds
 	 */
-	void reserveDecode(BackendState engine) {
+	void reserveDecode(BackendState engine, long nowNanos) {
 		releaseDecode();
 		this.decodeEngine = engine;
 		engine.reserve(this.decodeMemory);
+		engine.condition().countRequest(nowNanos);
+		this.decodeCounted = true;
+	}
+
+	/** Records that the request has been sent to the decode engine. */
+	void decodeSent() {
+		this.decodeCounted = false;
 	}
 
 	/**
@@ -73,6 +84,10 @@
 		if (engine != null) {
 			this.decodeEngine = null;
 			engine.release(this.decodeMemory);
+			if (this.decodeCounted) {
+				this.decodeCounted = false;
+				engine.condition().uncountRequest();
+			}
 		}
 	}
 
--- a/gateway/src/main/java/org/skylarkstack/gateway/EngineRoleController.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/EngineRoleController.java
@@ -179,6 +179,7 @@
 
 		this.pausedUntilNanos = System.nanoTime() + MAX_ORDER_DELAY_NANOS;
 		this.meters.remove(service);
+		current.condition().countRequest(System.nanoTime());
 		this.client.call(this.orders.encode(engine, role, this.self, fencingNumber), new OrderListener(engine),
 				ORDER_TIMEOUT_MILLIS);
 	}
--- a/gateway/src/main/java/org/skylarkstack/gateway/Exchange.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/Exchange.java
@@ -195,6 +195,7 @@
 		this.attempt = next;
 		this.tried.add(target.node().id());
 		next.bind(target);
+		next.countRequest();
 		this.call = this.components.backendClient()
 			.call(this.components.dialect().encode(target.node().address(), this.context.request(), plan), next);
 		setAttemptTimeout(next, timeoutMillis);
@@ -310,14 +311,31 @@
 	}
 
 	/**
-	 * Returns the time after which a refused caller should retry. It is randomized so
-	 * that callers that were refused together do not retry together.
+	 * Returns the time after which a refused caller should retry, at the earliest when a
+	 * server takes a request again. It is randomized so that callers that were refused
+	 * together do not retry together.
 	 * @return the time in milliseconds
 	 */
 	long retryAfterMillis() {
-		return MIN_RETRY_AFTER_MILLIS + this.components.random().nextLong(MIN_RETRY_AFTER_MILLIS);
+		return serverWaitMillis() + MIN_RETRY_AFTER_MILLIS + this.components.random().nextLong(MIN_RETRY_AFTER_MILLIS);
 	}
 
+	/**
+	 * Returns when a server takes a request of some daemon, whatever has been tried.
+	 * @return the time until then in milliseconds, 0 if one takes a request now
+	 */
+	final long serverWaitMillis() {
+		return TimeUnit.NANOSECONDS.toMillis(this.components.state()
+			.backends()
+			.fleetWaitNanos(this.context.service().name(), serverRole(), System.nanoTime()));
+	}
+
+	/**
+	 * Returns the role of the servers that run this request.
+	 * @return the role
+	 */
+	abstract BackendRole serverRole();
+
 	/**
 	 * Returns the time that the request still needs until its response is complete if an
 	 * attempt starts now.
--- a/gateway/src/main/java/org/skylarkstack/gateway/GatewayState.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/GatewayState.java
@@ -2,6 +2,7 @@
 
 import org.jspecify.annotations.Nullable;
 import org.skylarkstack.edge.EdgeLimits;
+import org.skylarkstack.peers.PeerUsage;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -17,7 +18,7 @@
 	// is reserved for the transit of a request from its caller.
 	private static final double MAX_AGE_SHARE = 0.9;
 
-	private final BackendDirectory backends = new BackendDirectory();
+	private final BackendDirectory backends;
 
 	private final ConfigurationVersions versions = new ConfigurationVersions();
 
@@ -31,9 +32,12 @@
 
 	/**
 	 * Creates a state without configuration and backend servers.
-	 * @param settings the settings, of which the revocation time is used
+	 * @param settings the settings, of which the name of the VM and the revocation time
+	 * are used
+	 * @param peers knows the other daemons
 	 */
-	public GatewayState(GatewaySettings settings) {
+	public GatewayState(GatewaySettings settings, PeerUsage peers) {
+		this.backends = new BackendDirectory(new LimitShares(settings.vmId(), peers));
 		this.freshness = new ConfigurationFreshness((long) (MAX_AGE_SHARE * settings.revocationMillis()),
 				this.versions);
 	}
--- /dev/null
+++ b/gateway/src/main/java/org/skylarkstack/gateway/ServerCondition.java
@@ -0,0 +1,102 @@
+package org.skylarkstack.gateway;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * What one incarnation of a backend server has stated about itself in its responses. It
+ * is kept when the announcement of the server disappears and returns. Confined to one
+ * thread.
+ */
+final class ServerCondition {
+
+	private static final Logger log = LoggerFactory.getLogger(ServerCondition.class);
+
+	private final String server;
+
+	private final long startedMillis;
+
+	private final LimitShares shares;
+
+	private final ServerLimit limit = new ServerLimit();
+
+	/**
+	 * Creates the condition of a server that has stated nothing yet.
+	 * @param server the identifier of the server
+	 * @param startedMillis when its incarnation started, in milliseconds since the epoch
+	 * @param shares divides the limits of servers among the daemons
+	 */
+	ServerCondition(String server, long startedMillis, LimitShares shares) {
+		this.server = server;
+		this.startedMillis = startedMillis;
+		this.shares = shares;
+	}
+
+	boolean belongsTo(BackendNode node) {
+		return this.startedMillis == node.startedMillis();
+	}
+
+	/**
+	 * Applies what the server states in a response.
+	 * @param notice the statements
+	 * @param requestId the request that it answered
+	 * @param nowNanos the current monotonic time in nanoseconds
+	 */
+	void apply(ServerNotice notice, String requestId, long nowNanos) {
+		double former = this.limit.perSecond();
+		double named = notice.limitPerSecond();
+		if (!Double.isNaN(named)) {
+			this.limit.name(named, this.shares.of(this.server, named, nowNanos), nowNanos);
+		}
+		if (this.limit.perSecond() != former) {
+			log.atInfo()
+				.addKeyValue("event", "server-limit-changed")
+				.addKeyValue("server", this.server)
+				.addKeyValue("perSecond", this.limit.perSecond())
+				.addKeyValue("former", former)
+				.addKeyValue("id", requestId)
+				.log();
+		}
+	}
+
+	/**
+	 * Returns whether this daemon may send a request to the server.
+	 * @param nowNanos the current monotonic time in nanoseconds
+	 * @return whether the server takes one
+	 */
+	boolean accepts(long nowNanos) {
+		return waitNanos(nowNanos) == 0;
+	}
+
+	/**
+	 * Returns when this daemon may send a request to the server.
+	 * @param nowNanos the current monotonic time in nanoseconds
+	 * @return the time until then in nanoseconds, 0 for now
+	 */
+	long waitNanos(long nowNanos) {
+		return this.limit.waitNanos(nowNanos);
+	}
+
+	/**
+	 * Returns when some daemon may send a request to the server.
+	 * @param nowNanos the current monotonic time in nanoseconds
+	 * @return the expected time until then in nanoseconds, 0 for now
+	 */
+	long fleetWaitNanos(long nowNanos) {
+		return this.limit.fleetWaitNanos(nowNanos);
+	}
+
+	/**
+	 * Counts a request, also one that is sent although the server does not take it.
+	 * @param nowNanos the current monotonic time in nanoseconds
+	 */
+	void countRequest(long nowNanos) {
+		this.limit.take(nowNanos);
+	}
+
+	/** Takes back the count of a request that was not sent. */
+	void uncountRequest() {
+		this.limit.giveBack();
+	}
+
+}
--- a/gateway/src/main/java/org/skylarkstack/gateway/ServiceExchange.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/ServiceExchange.java
@@ -1,6 +1,7 @@
 package org.skylarkstack.gateway;
 
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 
 import org.jspecify.annotations.Nullable;
 import org.skylarkstack.edge.BackendFailure;
@@ -19,6 +20,9 @@
 
 	private static final long NANOS_PER_MILLI = 1_000_000;
 
+	// Longest time until a request is sent, as a share of the latency target.
+	private static final double MAX_WAIT_IN_TARGETS = 0.5;
+
 	private static final double ELEVATED_ERROR_SHARE_FACTOR = 1.5;
 
 	private static final double ELEVATED_ERROR_SHARE_MARGIN = 0.2;
@@ -40,17 +44,22 @@
 					context().remainingMillis(nowNanos));
 	}
 
+	@Override
+	BackendRole serverRole() {
+		return BackendRole.NONE;
+	}
+
 	private void attempt(@Nullable BackendFailure lastFailure) {
 		long now = System.nanoTime();
-		if (endIfNotStartable(now)) {
+		if (isFinished() || endIfNotStartable(now)) {
 			return;
 		}
 		List<BackendState> candidates = components().state()
 			.backends()
-			.candidates(context().service().name(), BackendRole.NONE, (node) -> tried().contains(node.id()));
+			.accepting(context().service().name(), BackendRole.NONE, (node) -> tried().contains(node.id()), now);
 		BackendState target = components().backendChooser().choose(candidates, context().service(), now);
 		if (target == null) {
-			giveUp(lastFailure);
+			waitOrGiveUp(lastFailure, now);
 			return;
 		}
 		long remaining = context().remainingMillis(now);
@@ -61,6 +70,21 @@
 		send(target, plan, retryPossible ? (long) (ATTEMPT_TIME_SHARE * remaining) : 0, attempt);
 	}
 
+	// A request waits for a server that takes it soon only if it can still be answered
+	// within its target.
+	private void waitOrGiveUp(@Nullable BackendFailure lastFailure, long now) {
+		long waitMillis = TimeUnit.NANOSECONDS.toMillis(components().state()
+			.backends()
+			.waitNanos(context().service().name(), BackendRole.NONE, (node) -> tried().contains(node.id()), now));
+		long sentMillis = (now - context().arrivedNanos()) / NANOS_PER_MILLI + waitMillis;
+		if (waitMillis > 0 && sentMillis <= MAX_WAIT_IN_TARGETS * context().route().targetMillis()) {
+			components().loop().schedule(() -> attempt(lastFailure), waitMillis + 1, TimeUnit.MILLISECONDS);
+		}
+		else {
+			giveUp(lastFailure);
+		}
+	}
+
 	// An error that the request itself causes occurs at every server alike. Another
 	// attempt is useful only if the server has a higher error share than the others.
 	private boolean hasElevatedErrorShare(BackendState server) {
--- a/gateway/src/main/java/org/skylarkstack/gateway/StreamAdmission.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/StreamAdmission.java
@@ -108,9 +108,10 @@
 	}
 
 	@Nullable BackendState chooseDecodeEngine(String service, EngineProfile profile, Set<String> tried, RequestMemory memory) {
+		long now = System.nanoTime();
 		return this.decodeEngineChooser.choose(
-				this.backends.candidates(service, BackendRole.DECODE, (node) -> tried.contains(node.id())), profile,
-				memory, System.nanoTime());
+				this.backends.accepting(service, BackendRole.DECODE, (node) -> tried.contains(node.id()), now), profile,
+				memory, now);
 	}
 
 	/** Notifies the listener that the engine usage of a stream has changed. */
@@ -120,7 +121,8 @@
 
 	private boolean prefillBusy(List<BackendState> engines, long now) {
 		return !engines.isEmpty() && engines.stream()
-			.allMatch((engine) -> this.prefillEngineChooser.waitMillis(engine, now) > MAX_PREFILL_WAIT_MILLIS);
+			.allMatch((engine) -> !engine.condition().accepts(now)
+					|| this.prefillEngineChooser.waitMillis(engine, now) > MAX_PREFILL_WAIT_MILLIS);
 	}
 
 	/** Admits the waiting streams that fit and refuses those that have expired. */
@@ -160,12 +162,11 @@
 		if (profile == null) {
 			return;
 		}
-		List<BackendState> engines = this.backends.candidates(service, BackendRole.DECODE, (node) -> false);
 		List<BackendState> prefill = this.backends.candidates(service, BackendRole.PREFILL,
 				(node) -> isChangingRole(node, now));
 		try {
 			queue.advance((stream) -> prefillBusy(prefill, now) ? null
-					: this.decodeEngineChooser.choose(engines, profile, stream.memory(), now), now);
+					: chooseDecodeEngine(service, profile, Set.of(), stream.memory()), now);
 		}
 		catch (RuntimeException ex) {
 			log.atError().addKeyValue("event", "admission-failed").addKeyValue("service", service).setCause(ex).log();
--- a/gateway/src/main/java/org/skylarkstack/gateway/StreamExchange.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/StreamExchange.java
@@ -83,6 +83,8 @@
 
 	private long prefillSentNanos;
 
+	private @Nullable BackendState prefillResultEngine;
+
 	private boolean responseStarted;
 
 	StreamExchange(GatewayComponents components, ExchangeContext context, CallerResponse response, OpenExchanges open,
@@ -159,13 +161,19 @@
 	@Override
 	long retryAfterMillis() {
 		long spread = components().random().nextLong(MIN_RETRY_AFTER_MILLIS, MAX_RETRY_AFTER_MILLIS);
-		return Math.min(spread, context().remainingMillis(System.nanoTime()) / RETRY_AFTER_DIVISOR);
+		return Math.max(serverWaitMillis(),
+				Math.min(spread, context().remainingMillis(System.nanoTime()) / RETRY_AFTER_DIVISOR));
+	}
+
+	@Override
+	BackendRole serverRole() {
+		return BackendRole.DECODE;
 	}
 
 	@Override
 	public void admit(BackendState engine) {
 		this.admittedNanos = System.nanoTime();
-		this.reservations.reserveDecode(engine);
+		this.reservations.reserveDecode(engine, this.admittedNanos);
 		prefill();
 	}
 
@@ -213,7 +221,9 @@
 	@Override
 	void release() {
 		CallPlan.KvSource unusedResult = this.prefillResult.remove();
-		if (unusedResult != null) {
+		BackendState engine = this.prefillResultEngine;
+		if (unusedResult != null && engine != null) {
+			engine.condition().countRequest(System.nanoTime());
 			components().backendClient()
 				.call(components().dialect().encodeRelease(unusedResult), new NoOpListener(), RELEASE_TIMEOUT_MILLIS);
 		}
@@ -250,9 +260,10 @@
 	private @Nullable BackendState choosePrefillEngine(String dataCentre, long now) {
 		List<BackendState> candidates = components().state()
 			.backends()
-			.candidates(context().service().name(), BackendRole.PREFILL,
+			.accepting(context().service().name(), BackendRole.PREFILL,
 					(node) -> this.failedPrefillEngines.contains(node.id())
-							|| components().admission().isChangingRole(node, now));
+							|| components().admission().isChangingRole(node, now),
+					now);
 		return components().prefillEngineChooser()
 			.choose(candidates, this.profile, context().facts().promptTokens(), dataCentre, now);
 	}
@@ -271,7 +282,7 @@
 			giveUp(lastFailure);
 			return;
 		}
-		this.reservations.reserveDecode(engine);
+		this.reservations.reserveDecode(engine, System.nanoTime());
 		prefill();
 	}
 
@@ -293,7 +304,7 @@
 			giveUp(lastFailure);
 			return;
 		}
-		this.reservations.reserveDecode(engine);
+		this.reservations.reserveDecode(engine, now);
 		CallPlan.KvSource source = this.prefillResult.source();
 		send(engine, plan(engine, false, source, now), this.silence.firstMillis(), new DecodeAttempt(source, now));
 	}
@@ -345,6 +356,7 @@
 					.recordPrefill(context().facts().promptTokens(),
 							(System.nanoTime() - StreamExchange.this.prefillSentNanos) / NANOS_PER_MILLI);
 			}
+			StreamExchange.this.prefillResultEngine = server();
 			StreamExchange.this.prefillResult.set(new CallPlan.KvSource(server().node().address(), handle),
 					System.nanoTime());
 			decode(null);
@@ -384,6 +396,12 @@
 			this.progressNanos = nowNanos;
 		}
 
+		// Counted when the engine was reserved.
+		@Override
+		void countRequest() {
+			StreamExchange.this.reservations.decodeSent();
+		}
+
 		@Override
 		long furtherWaitMillis(long nowNanos) {
 			boolean canMove = couldFollow(nowNanos) && components().admission()
--- a/gateway/src/main/java/org/skylarkstack/peers/PeerUsage.java
+++ b/gateway/src/main/java/org/skylarkstack/peers/PeerUsage.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -34,6 +35,14 @@
 	// When a peer last reported that it has ordered an engine to change its role.
 	private final Map<String, Long> roleChangesReported = new HashMap<>();
 
+	// Longer than a daemon takes to stop after it has removed its registration.
+	private static final long DEPARTURE_NANOS = 10_000_000_000L;
+
+	private Set<String> registeredPeers = Set.of();
+
+	// When peers that are no longer registered were last registered.
+	private final Map<String, Long> departures = new HashMap<>();
+
 	private int registeredDaemons = 1;
 
 	private ObjLongConsumer<String> unitsListener = (team, nowNanos) -> {
@@ -75,8 +84,12 @@
 	/**
 	 * Sets the registered peers, and discards the reports of all other daemons.
 	 * @param peers the VM names of the other daemons
+	 * @param nowNanos the current monotonic time in nanoseconds
 	 */
-	public void setRegisteredPeers(Set<String> peers) {
+	public void setRegisteredPeers(Set<String> peers, long nowNanos) {
+		this.registeredPeers.forEach((peer) -> this.departures.put(peer, nowNanos));
+		this.departures.keySet().removeAll(peers);
+		this.registeredPeers = Set.copyOf(peers);
 		this.registeredDaemons = peers.size() + 1;
 		this.reports.keySet().retainAll(peers);
 		this.reportsByEngine.values().removeIf((senders) -> {
@@ -252,6 +265,19 @@
 		return this.registeredDaemons;
 	}
 
+	/**
+	 * Returns the other daemons that are registered, or were until shortly before and may
+	 * still serve callers.
+	 * @param nowNanos the current monotonic time in nanoseconds
+	 * @return the names of their VMs
+	 */
+	public Set<String> recentDaemons(long nowNanos) {
+		this.departures.values().removeIf((since) -> nowNanos - since > DEPARTURE_NANOS);
+		Set<String> daemons = new HashSet<>(this.registeredPeers);
+		daemons.addAll(this.departures.keySet());
+		return daemons;
+	}
+
 	/**
 	 * Returns the number of live daemons, including this one.
 	 * @param nowNanos the current monotonic time in nanoseconds
--- a/gateway/src/test/java/org/skylarkstack/gateway/BackendChooserTests.java
+++ b/gateway/src/test/java/org/skylarkstack/gateway/BackendChooserTests.java
@@ -25,8 +25,8 @@
 	private final BackendState second = server("second");
 
 	private static BackendState server(String id) {
-		return new BackendState(
-				new BackendNode(id, 1, 1, "s", new InetSocketAddress("127.0.0.1", 1), "a", 6, false, BackendRole.NONE));
+		return BackendStates
+			.of(new BackendNode(id, 1, 1, "s", new InetSocketAddress("127.0.0.1", 1), "a", 6, false, BackendRole.NONE));
 	}
 
 	/**
--- a/gateway/src/test/java/org/skylarkstack/gateway/BackendDirectoryTests.java
+++ b/gateway/src/test/java/org/skylarkstack/gateway/BackendDirectoryTests.java
@@ -14,7 +14,7 @@
 
 	private static final long MILLI = 1_000_000;
 
-	private final BackendDirectory directory = new BackendDirectory();
+	private final BackendDirectory directory = new BackendDirectory(BackendStates.shares());
 
 	private static BackendNode node(String id, long startedMillis, boolean draining) {
 		return node(id, startedMillis, 1, draining);
@@ -123,7 +123,7 @@
 	 */
 	@Test
 	void aFailedServerIsTriedAgainByOneRequest() {
-		BackendState state = new BackendState(node("x", 1, false));
+		BackendState state = BackendStates.of(node("x", 1, false));
 		state.recordFailure(0);
 		assertThat(state.isAvoided(100 * MILLI)).isTrue();
 		assertThat(state.isAvoided(500 * MILLI)).isFalse();
@@ -140,7 +140,7 @@
 	 */
 	@Test
 	void avoidanceIsBounded() {
-		BackendState state = new BackendState(node("x", 1, false));
+		BackendState state = BackendStates.of(node("x", 1, false));
 		for (int failure = 0; failure < 50; failure++) {
 			state.recordFailure(0);
 		}
--- a/gateway/src/test/java/org/skylarkstack/gateway/DecodeEngineChooserTests.java
+++ b/gateway/src/test/java/org/skylarkstack/gateway/DecodeEngineChooserTests.java
@@ -33,7 +33,7 @@
 	private final BackendState far = engine("far", "b");
 
 	private static BackendState engine(String id, String dataCentre) {
-		return new BackendState(new BackendNode(id, 1, 1, "s", new InetSocketAddress("127.0.0.1", 1), dataCentre, 64,
+		return BackendStates.of(new BackendNode(id, 1, 1, "s", new InetSocketAddress("127.0.0.1", 1), dataCentre, 64,
 				false, BackendRole.DECODE));
 	}
 
--- a/gateway/src/test/java/org/skylarkstack/gateway/EngineSamplerTests.java
+++ b/gateway/src/test/java/org/skylarkstack/gateway/EngineSamplerTests.java
@@ -36,7 +36,7 @@
 	private static List<BackendState> engines() {
 		List<BackendState> engines = new ArrayList<>();
 		for (int number = 0; number < ENGINES; number++) {
-			engines.add(new BackendState(new BackendNode("engine-" + number, 1, 1, "s",
+			engines.add(BackendStates.of(new BackendNode("engine-" + number, 1, 1, "s",
 					new InetSocketAddress("127.0.0.1", 1), "a", 64, false, BackendRole.DECODE)));
 		}
 		return engines;
@@ -48,7 +48,7 @@
 		for (int number = 1; number < daemons; number++) {
 			names.add("vm-" + number);
 		}
-		peers.setRegisteredPeers(names);
+		peers.setRegisteredPeers(names, 0);
 		return peers;
 	}
 
@@ -79,7 +79,7 @@
 	@Test
 	void enginesOfTheDataCentreComeFirst() {
 		List<BackendState> engines = engines();
-		BackendState near = new BackendState(new BackendNode("near", 1, 1, "s", new InetSocketAddress("127.0.0.1", 1),
+		BackendState near = BackendStates.of(new BackendNode("near", 1, 1, "s", new InetSocketAddress("127.0.0.1", 1),
 				"b", 64, false, BackendRole.DECODE));
 		engines.add(near);
 		assertThat(EngineSampler.shuffledLocalFirst(engines, "b", new SplittableRandom(3)).get(0)).isEqualTo(near);
--- a/gateway/src/test/java/org/skylarkstack/gateway/RoutingTableTests.java
+++ b/gateway/src/test/java/org/skylarkstack/gateway/RoutingTableTests.java
@@ -6,6 +6,7 @@
 import java.util.SplittableRandom;
 
 import org.junit.jupiter.api.Test;
+import org.skylarkstack.peers.PeerUsage;
 import org.skylarkstack.edge.EdgeLimits;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -56,7 +57,8 @@
 	 */
 	@Test
 	void anOlderVersionIsNotApplied() {
-		GatewayState state = new GatewayState(new GatewaySettings("vm", "a", true, 5_000, 0.2, 54, 10, 8, 0.1, 100, 8));
+		GatewayState state = new GatewayState(new GatewaySettings("vm", "a", true, 5_000, 0.2, 54, 10, 8, 0.1, 100, 8),
+				new PeerUsage());
 		state.apply(table(5));
 		state.apply(table(4));
 		assertThat(Objects.requireNonNull(state.routing()).version()).isEqualTo(5);
--- a/gateway/src/test/java/org/skylarkstack/gateway/StreamAdmissionTests.java
+++ b/gateway/src/test/java/org/skylarkstack/gateway/StreamAdmissionTests.java
@@ -29,8 +29,9 @@
 
 	private final SplittableRandom random = new SplittableRandom(1);
 
-	private final StreamAdmission admission = new StreamAdmission(this.loop, new BackendDirectory(), this.peers,
-			new PrefillEngineChooser(this.peers, this.random), "a", this.random, () -> {
+	private final StreamAdmission admission = new StreamAdmission(this.loop,
+			new BackendDirectory(BackendStates.shares()), this.peers, new PrefillEngineChooser(this.peers, this.random),
+			"a", this.random, () -> {
 			});
 
 	private final AtomicInteger refused = new AtomicInteger();
--- a/gateway/src/test/java/org/skylarkstack/gateway/StreamQueueTests.java
+++ b/gateway/src/test/java/org/skylarkstack/gateway/StreamQueueTests.java
@@ -21,8 +21,8 @@
 
 	private final StreamQueue queue = new StreamQueue();
 
-	private final BackendState engine = new BackendState(
-			new BackendNode("e", 1, 1, "s", new InetSocketAddress("127.0.0.1", 1), "a", 8, false, BackendRole.DECODE));
+	private final BackendState engine = BackendStates
+		.of(new BackendNode("e", 1, 1, "s", new InetSocketAddress("127.0.0.1", 1), "a", 8, false, BackendRole.DECODE));
 
 	private void add(String name, long tokens, int priority, long arrivedMillis) {
 		this.queue.add(new TestStream(name, tokens, priority, arrivedMillis * MILLI));
--- a/gateway/src/test/java/org/skylarkstack/gateway/TeamLimitsTests.java
+++ b/gateway/src/test/java/org/skylarkstack/gateway/TeamLimitsTests.java
@@ -38,7 +38,7 @@
 	/** Guards against two daemons that each grant the whole limit of a team. */
 	@Test
 	void unitsTakenByPeersAreNotGrantedAgain() {
-		this.peers.setRegisteredPeers(Set.of("peer"));
+		this.peers.setRegisteredPeers(Set.of("peer"), 0);
 		TeamLimits limits = limits(settings(true, 0));
 		report(1, 0, 0);
 		assertThat(limits.tryTake(TEAM, 100, 0)).isEqualTo(0);
@@ -52,7 +52,7 @@
 	 */
 	@Test
 	void oneDaemonMayGrantTheWholeLimit() {
-		this.peers.setRegisteredPeers(Set.of("peer"));
+		this.peers.setRegisteredPeers(Set.of("peer"), 0);
 		TeamLimits limits = limits(settings(true, 0));
 		report(1, 0, 0);
 		assertThat(limits.tryTake(TEAM, 1_000, 0)).isEqualTo(0);
@@ -64,7 +64,7 @@
 	 */
 	@Test
 	void unreachablePeersKeepTheirShare() {
-		this.peers.setRegisteredPeers(Set.of("peer"));
+		this.peers.setRegisteredPeers(Set.of("peer"), 0);
 		TeamLimits limits = limits(settings(true, 0));
 		long granted = 0;
 		for (long now = 0; now < 8_000; now += 10) {
@@ -90,7 +90,7 @@
 	 */
 	@Test
 	void unitsTakenByPeersBeforeTheFirstRequestCount() {
-		this.peers.setRegisteredPeers(Set.of("peer"));
+		this.peers.setRegisteredPeers(Set.of("peer"), 0);
 		TeamLimits limits = limits(settings(true, 0));
 		report(1, 0, 0);
 		report(2, 4_000, 2_900);
--- a/gateway/src/test/java/org/skylarkstack/peers/FleetLimitTests.java
+++ b/gateway/src/test/java/org/skylarkstack/peers/FleetLimitTests.java
@@ -170,7 +170,7 @@
 			this.router.setPeers(others);
 			Set<String> names = new HashSet<>();
 			others.forEach((peer) -> names.add(peer.vmId()));
-			this.usage.setRegisteredPeers(names);
+			this.usage.setRegisteredPeers(names, 0);
 			this.limits = new TeamLimits(new GatewaySettings(self.vmId(), self.dataCentre(), true, 5_000, 0.2, 230, 10,
 					8, TOLERANCE, SLACK, 8), this.usage, (name) -> TEAM, 0);
 		}
--- a/gateway/src/test/java/org/skylarkstack/peers/PeerUsageTests.java
+++ b/gateway/src/test/java/org/skylarkstack/peers/PeerUsageTests.java
@@ -54,7 +54,7 @@
 	 */
 	@Test
 	void memoryOfUnreachablePeerIsNotCounted() {
-		this.usage.setRegisteredPeers(Set.of("a"));
+		this.usage.setRegisteredPeers(Set.of("a"), 0);
 		this.usage.recordReport(report("a", 1, 1, 0), 0);
 		assertThat(this.usage.memoryOfPeers("engine", 1_000 * MILLI)).hasSize(1);
 		assertThat(this.usage.liveDaemons(1_000 * MILLI)).isEqualTo(2);
@@ -68,7 +68,7 @@
 	 */
 	@Test
 	void onlyLowestNameInMajorityIsFirst() {
-		this.usage.setRegisteredPeers(Set.of("a", "c", "d", "e"));
+		this.usage.setRegisteredPeers(Set.of("a", "c", "d", "e"), 0);
 		assertThat(this.usage.isFirstLiveDaemon("b", 0)).isFalse();
 		this.usage.recordReport(report("c", 1, 1, 0), 0);
 		this.usage.recordReport(report("d", 1, 1, 0), 0);
@@ -120,7 +120,7 @@
 	void memoryOfUnregisteredPeerIsNotCounted() {
 		this.usage.recordReport(report("a", 1, 1, 0), 0);
 		this.usage.recordReport(report("b", 1, 1, 0), 0);
-		this.usage.setRegisteredPeers(Set.of("b"));
+		this.usage.setRegisteredPeers(Set.of("b"), 0);
 		assertThat(this.usage.memoryOfPeers("engine", 0)).hasSize(1);
 	}
 
