Send nothing new to a server that says in a response that it leaves

Leaving was known from the store's entries alone, so a VM went on with a server that had told it to stop, also when the store was away. Server-Leaving: 1 in any response (success, error, refusal, prefill result, head of a stream, role order) is now part of ServerCondition: never taken back for the same incarnation, whatever its entry says, and kept while the entry is missing. What runs there ends; a stream whose reserved engine leaves goes to another. Other VMs are not told: they are bound by the store's entry.

--- a/gateway/src/main/java/org/skylarkstack/gateway/BackendDirectory.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/BackendDirectory.java
@@ -111,7 +111,8 @@
 	}
 
 	/**
-	 * Returns the servers that may get new requests, which excludes draining ones.
+	 * Returns the servers that may get new requests, which excludes those that leave by
+	 * their announcement or their responses.
 	 * @param service the service that the servers belong to
 	 * @param role the role that the servers have
 	 * @param exclude matches the servers to leave out
@@ -121,13 +122,17 @@
 		List<BackendState> found = new ArrayList<>();
 		for (BackendState state : this.states.values()) {
 			BackendNode node = state.node();
-			if (node.service().equals(service) && node.role() == role && !node.draining() && !exclude.test(node)) {
+			if (node.service().equals(service) && node.role() == role && mayGetRequests(state) && !exclude.test(node)) {
 				found.add(state);
 			}
 		}
 		return found;
 	}
 
+	private static boolean mayGetRequests(BackendState state) {
+		return !state.node().draining() && !state.condition().isLeaving();
+	}
+
 	/**
 	 * Returns the servers that take a request of this daemon now.
 	 * @param service the service that the servers belong to
@@ -177,10 +182,10 @@
 	/**
 	 * Returns whether a server that was chosen before may still get new requests.
 	 * @param chosen the state of the server when it was chosen
-	 * @return {@code false} if it has been removed, restarted or is draining
+	 * @return {@code false} if it has been removed, has restarted or leaves
 	 */
 	boolean isAvailable(BackendState chosen) {
-		return this.states.get(chosen.node().id()) == chosen && !chosen.node().draining();
+		return this.states.get(chosen.node().id()) == chosen && mayGetRequests(chosen);
 	}
 
 	/**
--- a/gateway/src/main/java/org/skylarkstack/gateway/EngineRoleController.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/EngineRoleController.java
@@ -55,6 +55,8 @@
 
 	private final RoleOrders orders;
 
+	private final WireDialect dialect;
+
 	private final BackendClient client;
 
 	private final LeadershipTakeover takeover = new LeadershipTakeover(MAX_ORDER_DELAY_NANOS);
@@ -71,16 +73,18 @@
 	 * @param peers the engine usage that peers report
 	 * @param claims the leadership claims in the platform's store
 	 * @param orders the encoder of orders to engines
+	 * @param dialect decodes the engines' responses
 	 * @param client the client that calls engines
 	 */
 	public EngineRoleController(String self, EventLoop loop, GatewayState state, PeerUsage peers,
-			LeadershipClaims claims, RoleOrders orders, BackendClient client) {
+			LeadershipClaims claims, RoleOrders orders, WireDialect dialect, BackendClient client) {
 		this.self = self;
 		this.loop = loop;
 		this.state = state;
 		this.peers = peers;
 		this.claims = claims;
 		this.orders = orders;
+		this.dialect = dialect;
 		this.client = client;
 	}
 
@@ -167,7 +171,7 @@
 
 	private void order(String service, BackendNode engine, BackendRole role, long fencingNumber) {
 		BackendState current = this.state.backends().find(engine.id());
-		if (current == null || !current.node().sameIncarnation(engine) || current.node().draining()) {
+		if (current == null || !current.node().sameIncarnation(engine) || !this.state.backends().isAvailable(current)) {
 			return;
 		}
 		log.atInfo()
@@ -180,7 +184,7 @@
 		this.pausedUntilNanos = System.nanoTime() + MAX_ORDER_DELAY_NANOS;
 		this.meters.remove(service);
 		current.condition().countRequest(System.nanoTime());
-		this.client.call(this.orders.encode(engine, role, this.self, fencingNumber), new OrderListener(engine),
+		this.client.call(this.orders.encode(engine, role, this.self, fencingNumber), new OrderListener(current),
 				ORDER_TIMEOUT_MILLIS);
 	}
 
@@ -208,24 +212,27 @@
 	 */
 	private final class OrderListener implements BackendListener {
 
-		private final BackendNode engine;
+		private final BackendState engine;
 
 		private int status;
 
-		OrderListener(BackendNode engine) {
+		OrderListener(BackendState engine) {
 			this.engine = engine;
 		}
 
 		@Override
 		public void head(int received, HttpHeaders headers) {
 			this.status = received;
+			this.engine.condition()
+				.apply(EngineRoleController.this.dialect.responseHead(received, headers).notice(), "order",
+						System.nanoTime());
 		}
 
 		@Override
 		public void ended() {
 			EngineRoleController.this.pausedUntilNanos = System.nanoTime() + MIN_ORDER_INTERVAL_NANOS;
 			if (this.status == ACCEPTED) {
-				EngineRoleController.this.peers.recordRoleChange(this.engine.roleKey(), System.nanoTime());
+				EngineRoleController.this.peers.recordRoleChange(this.engine.node().roleKey(), System.nanoTime());
 			}
 			log("status-" + this.status);
 		}
@@ -238,7 +245,7 @@
 		private void log(String outcome) {
 			log.atInfo()
 				.addKeyValue("event", "role-order-answered")
-				.addKeyValue("server", this.engine.id())
+				.addKeyValue("server", this.engine.node().id())
 				.addKeyValue("outcome", outcome)
 				.log();
 		}
--- a/gateway/src/main/java/org/skylarkstack/gateway/ServerCondition.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/ServerCondition.java
@@ -20,6 +20,8 @@
 
 	private final ServerLimit limit = new ServerLimit();
 
+	private boolean leaving;
+
 	/**
 	 * Creates the condition of a server that has stated nothing yet.
 	 * @param server the identifier of the server
@@ -43,6 +45,18 @@
 	 * @param nowNanos the current monotonic time in nanoseconds
 	 */
 	void apply(ServerNotice notice, String requestId, long nowNanos) {
+		if (notice.leaving() && !this.leaving) {
+			this.leaving = true;
+			log.atInfo()
+				.addKeyValue("event", "server-leaving")
+				.addKeyValue("server", this.server)
+				.addKeyValue("id", requestId)
+				.log();
+		}
+		applyLimit(notice, requestId, nowNanos);
+	}
+
+	private void applyLimit(ServerNotice notice, String requestId, long nowNanos) {
 		double former = this.limit.perSecond();
 		double named = notice.limitPerSecond();
 		if (!Double.isNaN(named)) {
@@ -59,6 +73,14 @@
 		}
 	}
 
+	/**
+	 * Returns whether the server has stated that it leaves, which it cannot take back.
+	 * @return whether it must get no new requests
+	 */
+	boolean isLeaving() {
+		return this.leaving;
+	}
+
 	/**
 	 * Returns whether this daemon may send a request to the server.
 	 * @param nowNanos the current monotonic time in nanoseconds
