Keep the pause that a server asks for with 503 and Retry-After

A server that turned a request away with 503 and Retry-After got the next ones at once if it was the best choice. Pauses are not passed on to other VMs.

--- a/gateway/src/main/java/org/skylarkstack/gateway/ServerCondition.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/ServerCondition.java
@@ -1,5 +1,7 @@
 package org.skylarkstack.gateway;
 
+import java.util.concurrent.TimeUnit;
+
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -20,6 +22,8 @@
 
 	private final ServerLimit limit = new ServerLimit();
 
+	private final ServerPause pause = new ServerPause();
+
 	private boolean leaving;
 
 	/**
@@ -53,9 +57,24 @@
 				.addKeyValue("id", requestId)
 				.log();
 		}
+		applyPause(notice, requestId, nowNanos);
 		applyLimit(notice, requestId, nowNanos);
 	}
 
+	private void applyPause(ServerNotice notice, String requestId, long nowNanos) {
+		if (notice.pauseMillis() == 0) {
+			this.pause.recordResponse(nowNanos);
+			return;
+		}
+		this.pause.begin(TimeUnit.MILLISECONDS.toNanos(notice.pauseMillis()), nowNanos);
+		log.atInfo()
+			.addKeyValue("event", "server-paused")
+			.addKeyValue("server", this.server)
+			.addKeyValue("forMs", notice.pauseMillis())
+			.addKeyValue("id", requestId)
+			.log();
+	}
+
 	private void applyLimit(ServerNotice notice, String requestId, long nowNanos) {
 		double former = this.limit.perSecond();
 		double named = notice.limitPerSecond();
@@ -96,7 +115,7 @@
 	 * @return the time until then in nanoseconds, 0 for now
 	 */
 	long waitNanos(long nowNanos) {
-		return this.limit.waitNanos(nowNanos);
+		return Math.max(this.pause.waitNanos(nowNanos), this.limit.waitNanos(nowNanos));
 	}
 
 	/**
@@ -105,7 +124,7 @@
 	 * @return the expected time until then in nanoseconds, 0 for now
 	 */
 	long fleetWaitNanos(long nowNanos) {
-		return this.limit.fleetWaitNanos(nowNanos);
+		return Math.max(this.pause.waitNanos(nowNanos), this.limit.fleetWaitNanos(nowNanos));
 	}
 
 	/**
@@ -113,11 +132,13 @@
 	 * @param nowNanos the current monotonic time in nanoseconds
 	 */
 	void countRequest(long nowNanos) {
+		this.pause.recordRequest(nowNanos);
 		this.limit.take(nowNanos);
 	}
 
 	/** Takes back the count of a request that was not sent. */
 	void uncountRequest() {
+		this.pause.recordUnsent();
 		this.limit.giveBack();
 	}
 
--- a/gateway/src/main/java/org/skylarkstack/gateway/ServerNotice.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/ServerNotice.java
@@ -6,15 +6,17 @@
  * @param leaving whether it leaves and must get no new requests
  * @param limitPerSecond the requests a second that it takes from all daemons together;
  * infinite if it names no limit, NaN if what it names cannot be read
+ * @param pauseMillis how long it wants no requests from this daemon, in milliseconds; 0
+ * if it does not ask for a pause
  */
-public record ServerNotice(boolean leaving, double limitPerSecond) {
+public record ServerNotice(boolean leaving, double limitPerSecond, long pauseMillis) {
 
 	/**
 	 * Creates a notice.
 	 */
 	public ServerNotice {
-		if (limitPerSecond < 0) {
-			throw new IllegalArgumentException("a limit is negative: " + limitPerSecond);
+		if (limitPerSecond < 0 || pauseMillis < 0) {
+			throw new IllegalArgumentException("negative: %s, %s".formatted(limitPerSecond, pauseMillis));
 		}
 	}
 
--- a/gateway/src/test/java/org/skylarkstack/gateway/ServerLimitFleetTests.java
+++ b/gateway/src/test/java/org/skylarkstack/gateway/ServerLimitFleetTests.java
@@ -54,7 +54,7 @@
 		if (this.toldSince.get(daemon) < now - TOLD) {
 			this.sent.add(now);
 		}
-		condition.apply(new ServerNotice(false, limit), "id", now);
+		condition.apply(new ServerNotice(false, limit, 0), "id", now);
 		this.toldSince.set(daemon, Math.min(this.toldSince.get(daemon), now));
 	}
 
