--- a/gateway/src/test/java/org/skylarkstack/gateway/RoutingTableTests.java
+++ b/gateway/src/test/java/org/skylarkstack/gateway/RoutingTableTests.java
@@ -6,8 +6,8 @@
 import java.util.SplittableRandom;
 
 import org.junit.jupiter.api.Test;
-import org.skylarkstack.peers.PeerUsage;
 import org.skylarkstack.edge.EdgeLimits;
+import org.skylarkstack.peers.PeerUsage;
 
 import static com.google.common.truth.Truth.assertThat;
 
