--- a/review/standin/ReviewFleet.java
+++ b/review/standin/ReviewFleet.java
@@ -88,19 +88,24 @@
 		throw last;
 	}
 
-	/** Writes a configuration; %1$s in the routes stands for the host of the routes. */
+	/** Writes a configuration with one tenant. */
 	void configure(String routes, String services) {
-		configure(routes, services, "\"" + KEY + "\"");
+		configureTenants(routes, services, tenant(TEAM, KEY));
 	}
 
-	void configure(String routes, String services, String keys) {
+	/** Returns a tenant of a configuration, without a limit that the cases reach. */
+	static String tenant(String name, String key) {
+		return ("{\"name\":\"%s\",\"apiKeys\":[\"%s\"],\"unit\":\"tokens\",\"plainTokens\":200,"
+				+ "\"ratePerS\":1000000,\"burst\":1000000}").formatted(name, key);
+	}
+
+	void configureTenants(String routes, String services, String tenants) {
 		this.configurationVersion++;
 		this.store.put("op", "config", """
 				{"version":%d,"routes":[%s],"services":[%s],
 				"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
-				"tenants":[{"name":"%s","apiKeys":[%s],"unit":"tokens","plainTokens":200,"ratePerS":1000000,
-				"burst":1000000}]}""".formatted(this.configurationVersion, routes, services, TEAM, keys));
-		note("operator writes configuration %d", this.configurationVersion);
+				"tenants":[%s]}""".formatted(this.configurationVersion, routes, services, tenants));
+		note("operator writes configuration %d, confirmed", this.configurationVersion);
 	}
 
 	/** Writes the entry of a server, as the server itself does when it starts. */
