--- a/review/standin/ReviewFleet.java
+++ b/review/standin/ReviewFleet.java
@@ -47,6 +47,8 @@
 
 	private final Map<String, Process> daemons = new LinkedHashMap<>();
 
+	private final Map<String, Addresses> addresses = new LinkedHashMap<>();
+
 	private int nextHost = 10;
 
 	private long configurationVersion;
@@ -99,6 +101,12 @@
 				+ "\"ratePerS\":1000000,\"burst\":1000000}").formatted(name, key);
 	}
 
+	/** Writes the newest configuration once more, after the store has lost it. */
+	void rewriteConfiguration(String routes, String services, String tenants) {
+		this.configurationVersion--;
+		configureTenants(routes, services, tenants);
+	}
+
 	void configureTenants(String routes, String services, String tenants) {
 		this.configurationVersion++;
 		this.store.put("op", "config", """
@@ -125,25 +133,46 @@
 	/** Starts a daemon with the command of the deploy file and waits until it is ready. */
 	InetSocketAddress startDaemon(String vmId, InetSocketAddress storeAddress) throws Exception {
 		String host = nextHost();
-		int callerPort = freePort(host);
-		int readyPort = freePort(host);
+		Addresses addresses = new Addresses(host, freePort(host), freePort(host), freePort(host));
+		this.addresses.put(vmId, addresses);
+		launch(vmId, storeAddress, true);
+		await(30, () -> isReady(vmId));
+		note("daemon %s is ready", vmId);
+		return addresses.callers();
+	}
+
+	/** Starts a daemon again that has been killed, at the address that it had. */
+	void restartDaemon(String vmId, InetSocketAddress storeAddress) throws IOException {
+		launch(vmId, storeAddress, false);
+		note("daemon %s starts again", vmId);
+	}
+
+	/** Kills a daemon (SIGKILL). */
+	void killDaemon(String vmId) throws InterruptedException {
+		note("SIGKILL to %s", vmId);
+		daemon(vmId).destroyForcibly().waitFor();
+	}
+
+	private void launch(String vmId, InetSocketAddress storeAddress, boolean firstStart) throws IOException {
+		Addresses own = this.addresses.get(vmId);
 		Path settings = this.temporaryFolder.resolve(vmId + ".json");
 		Files.writeString(settings, """
-				{"vmId":"%s","dataCentre":"a","firstStart":true,"callerAddress":"%s:%d","readyAddress":"%s:%d",
+				{"vmId":"%s","dataCentre":"a","firstStart":%s,"callerAddress":"%s:%d","readyAddress":"%s:%d",
 				"ipAddress":"%s","peerPort":%d,"storeAddress":"%s:%d","revocationStrict":true,
 				"revocationMillis":5000,"drainMillis":2000,"retryRatio":0.2,"retryFixed":54,"retryWindowSeconds":10,
 				"limitWindowSeconds":8,"limitTolerance":0.1,"limitSlack":110000,"shutdownSeconds":8}"""
-			.formatted(vmId, host, callerPort, host, readyPort, host, freePort(host), storeAddress.getHostString(),
-					storeAddress.getPort()));
+			.formatted(vmId, firstStart, own.host(), own.callerPort(), own.host(), own.readyPort(), own.host(),
+					own.peerPort(), storeAddress.getHostString(), storeAddress.getPort()));
 		ProcessBuilder builder = new ProcessBuilder(command());
 		builder.environment().put("SKYLARKSTACK_CONFIG", settings.toString());
 		builder.redirectErrorStream(true);
-		builder.redirectOutput(logFile(vmId).toFile());
+		builder.redirectOutput(ProcessBuilder.Redirect.appendTo(logFile(vmId).toFile()));
 		this.daemons.put(vmId, builder.start());
-		InetSocketAddress callers = new InetSocketAddress(host, callerPort);
-		await(30, () -> isReady(new InetSocketAddress(host, readyPort)));
-		note("daemon %s is ready", vmId);
-		return callers;
+	}
+
+	boolean isReady(String vmId) {
+		Addresses own = this.addresses.get(vmId);
+		return isReady(new InetSocketAddress(own.host(), own.readyPort()));
 	}
 
 	Path logFile(String vmId) {
@@ -220,6 +249,14 @@
 		this.record.close();
 	}
 
+	private record Addresses(String host, int callerPort, int readyPort, int peerPort) {
+
+		InetSocketAddress callers() {
+			return new InetSocketAddress(this.host, this.callerPort);
+		}
+
+	}
+
 	/**
 	 * What a case does with its fleet.
 	 */
