--- a/review/standin/KeyReturnsAfterDrill.java
+++ b/review/standin/KeyReturnsAfterDrill.java
@@ -18,7 +18,12 @@
 	// More than revokeMs.
 	private static final long BEFORE_DRILL_MILLIS = 6_500;
 
-	private static final long REWRITE_MILLIS = Long.getLong("rewrite", 4_000);
+	private static final long AWAY_MILLIS = 2_000;
+
+	private static final long BETWEEN_KILLS_MILLIS = Long.getLong("between", 400);
+
+	// Time from the return of the store until the operator has written again.
+	private static final long REWRITE_MILLIS = 3_000;
 
 	private static final String ROUTES = """
 			{"name":"r1","host":"review.example","prefix":"/book/","kind":"non_idempotent","service":"plain",
@@ -63,25 +68,28 @@
 		Thread.sleep(BEFORE_DRILL_MILLIS);
 		send(fleet, callers1, "withdrawn-1", "key-1");
 		send(fleet, callers2, "withdrawn-2", "key-1");
-		long drillNanos = System.nanoTime();
 		if (trouble) {
 			store.setUnavailable(true);
 			fleet.note("drill: the store is away");
-			Thread.sleep(300);
+		}
+		fleet.killDaemon("vm-2");
+		fleet.restartDaemon("vm-2", store.address());
+		Thread.sleep(AWAY_MILLIS);
+		if (trouble) {
 			store.restore(copy);
 			store.setUnavailable(false);
 			fleet.note("drill: the store is back from its copy");
 		}
-		fleet.killDaemon("vm-2");
-		fleet.restartDaemon("vm-2", store.address());
-		Thread.sleep(1_200);
+		long returnNanos = System.nanoTime();
+		// Both daemons have read the store again by then, and each other's reports.
+		Thread.sleep(BETWEEN_KILLS_MILLIS);
 		fleet.killDaemon("vm-1");
 		fleet.restartDaemon("vm-1", store.address());
 		int number = 3;
-		while (System.nanoTime() - drillNanos < REWRITE_MILLIS * 1_000_000) {
+		while (System.nanoTime() - returnNanos < REWRITE_MILLIS * 1_000_000) {
 			send(fleet, callers1, "withdrawn-" + number++, "key-1");
 			send(fleet, callers2, "withdrawn-" + number++, "key-1");
-			Thread.sleep(200);
+			Thread.sleep(100);
 		}
 		if (trouble) {
 			fleet.announce("s-1", "plain", "", server.address(), 6, 9);
