--- a/review/standin/ReviewFleet.java
+++ b/review/standin/ReviewFleet.java
@@ -35,6 +35,11 @@
 
 	private static final int PORT_ATTEMPTS = 100;
 
+	// Differs from the status with which Java itself ends after an error.
+	private static final int BROKEN_STATUS = 10;
+
+	private static final int NOT_RUN_STATUS = 2;
+
 	private final long startNanos = System.nanoTime();
 
 	private final Path temporaryFolder;
@@ -59,6 +64,9 @@
 		ThreadLocalRandom random = ThreadLocalRandom.current();
 		this.prefix = "127." + random.nextInt(1, 250) + "." + random.nextInt(1, 250) + ".";
 		this.store = new StoreStandIn();
+		// For a case that is ended from outside.
+		Runtime.getRuntime()
+			.addShutdownHook(new Thread(() -> this.daemons.values().forEach(Process::destroyForcibly)));
 	}
 
 	StoreStandIn store() {
@@ -275,21 +283,29 @@
 	/** Runs a case and ends the process with its result. */
 	static void main(String[] arguments, Case tested) {
 		boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-		int status = 2;
+		int status = NOT_RUN_STATUS;
 		try (ReviewFleet fleet = new ReviewFleet(Path.of(arguments[0]))) {
 			try {
-				status = tested.run(fleet, trouble) ? 0 : 1;
+				status = tested.run(fleet, trouble) ? 0 : BROKEN_STATUS;
 			}
 			catch (Exception | Error ex) {
 				fleet.note("the case could not run: %s", ex);
 			}
-			fleet.note("result: %d (trouble: %s)", status, trouble);
+			fleet.note("the rule %s (trouble: %s)", describe(status), trouble);
 		}
 		catch (IOException ex) {
 			System.err.println(ex);
 		}
-		System.out.println("result " + status);
+		System.out.println("the rule " + describe(status));
 		Runtime.getRuntime().halt(status);
 	}
 
+	private static String describe(int status) {
+		return switch (status) {
+			case 0 -> "held";
+			case BROKEN_STATUS -> "was broken";
+			default -> "was not tested";
+		};
+	}
+
 }
