--- a/review/standin/PlainStreamBrokenOff.java
+++ b/review/standin/PlainStreamBrokenOff.java
@@ -1,7 +1,6 @@
 package org.skylarkstack.platform;
 
 import java.io.IOException;
-import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -53,16 +52,12 @@
 		boolean held = true;
 		for (int number = 0; number < REQUESTS; number++) {
 			String id = "req-" + number;
-			try (Socket socket = new Socket()) {
-				socket.connect(callers, 1_000);
-				socket.setSoTimeout(15_000);
+			try (Socket socket = ReviewClient.connect(callers)) {
 				fleet.note("client sends %s", id);
-				socket.getOutputStream()
-					.write(("POST /text/x HTTP/1.1\r\nHost: review.example\r\nX-Request-Id: %s\r\n"
-							+ "X-Request-Timeout-Ms: 14000\r\nX-Credential: %s\r\nX-Model: m\r\n"
-							+ "X-Token-Count: 100,500\r\nX-Prompt-Prefix: aa01:20,%x:80\r\nContent-Length: 4\r\n\r\nbody")
-						.formatted(id, ReviewFleet.KEY, number + 1)
-						.getBytes(StandardCharsets.US_ASCII));
+				ReviewClient.post(socket, "/text/x", id, ReviewFleet.KEY,
+						"X-Request-Timeout-Ms: 14000\r\nX-Model: m\r\nX-Token-Count: 100,500\r\nX-Prompt-Prefix: aa01:20,%x:80\r\n"
+							.formatted(number + 1),
+						"body".getBytes(StandardCharsets.US_ASCII));
 				held &= check(fleet, id, socket);
 			}
 		}
@@ -79,47 +74,11 @@
 			fleet.note("client got %d for %s", answer.status(), id);
 			return true;
 		}
-		boolean chunked = answer.header("transfer-encoding").equals("chunked");
-		boolean complete = true;
-		String text;
-		if (chunked) {
-			text = readChunks(answer.input());
-			complete = text.endsWith("<end>");
-		}
-		else {
-			byte[] body = answer.readBody();
-			text = new String(body, StandardCharsets.US_ASCII);
-			complete = body.length == answer.contentLength();
-		}
-		boolean all = text.contains("id: " + EVENTS + "\ndata: " + id + " " + EVENTS + "\n\n");
-		fleet.note("client got 200 for %s (%s), ended as complete: %s, last event received: %s", id,
-				chunked ? "chunks" : "length " + answer.contentLength(), complete, all);
-		return all || !complete;
-	}
-
-	// Appends a mark if the last chunk was received.
-	private static String readChunks(InputStream input) throws IOException {
-		StringBuilder text = new StringBuilder();
-		while (true) {
-			StringBuilder size = new StringBuilder();
-			int next = input.read();
-			while (next != '\n') {
-				if (next < 0) {
-					return text.toString();
-				}
-				size.append((char) next);
-				next = input.read();
-			}
-			int length = Integer.parseInt(size.toString().trim(), 16);
-			byte[] chunk = input.readNBytes(length + 2);
-			if (chunk.length < length + 2) {
-				return text.toString();
-			}
-			if (length == 0) {
-				return text + "<end>";
-			}
-			text.append(new String(chunk, 0, length, StandardCharsets.US_ASCII));
-		}
+		ReviewClient.Body body = ReviewClient.readBody(answer);
+		boolean all = body.text().contains("id: " + EVENTS + "\ndata: " + id + " " + EVENTS + "\n\n");
+		fleet.note("client got 200 for %s (length '%s'), ended as complete: %s, last event received: %s", id,
+				answer.header("content-length"), body.complete(), all);
+		return all || !body.complete();
 	}
 
 	private static boolean answer(ReviewFleet fleet, boolean trouble, ReviewServer.Request request, Socket socket)
--- a/review/standin/StreamCutByStop.java
+++ b/review/standin/StreamCutByStop.java
@@ -1,8 +1,6 @@
 package org.skylarkstack.platform;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -116,8 +114,7 @@
 		for (int number = 0; number < WARM_UP_REQUESTS; number++) {
 			int events = random.nextInt(MIN_EVENTS, MAX_EVENTS);
 			String id = "early-" + number;
-			Socket socket = new Socket();
-			socket.connect(callers, 1_000);
+			Socket socket = ReviewClient.connect(callers);
 			boolean kept = number >= WARM_UP_REQUESTS - CALLERS;
 			if (kept) {
 				channels.add(socket);
@@ -145,18 +142,10 @@
 
 	private static void exchange(ReviewFleet fleet, Socket socket, String id, int events, int hintEvents,
 			AtomicInteger cut) throws IOException {
-		socket.setSoTimeout(15_000);
-		byte[] body = new byte[5_000];
-		ByteArrayOutputStream message = new ByteArrayOutputStream();
-		message.writeBytes(("POST /text/%d HTTP/1.1\r\nHost: review.example\r\nX-Request-Id: %s\r\n"
-				+ "X-Request-Timeout-Ms: 14000\r\nX-Credential: %s\r\nX-Model: m\r\nX-Token-Count: 1000,6500\r\n"
-				+ "X-Length-Hint: %d\r\nX-Prompt-Prefix: aa01:200,%s:800\r\nContent-Length: %d\r\n\r\n")
-			.formatted(events, id, ReviewFleet.KEY, hintEvents * TOKENS_PER_EVENT,
-					Integer.toHexString(id.hashCode()), body.length)
-			.getBytes(StandardCharsets.US_ASCII));
-		message.writeBytes(body);
-		socket.getOutputStream().write(message.toByteArray());
-		socket.getOutputStream().flush();
+		ReviewClient.post(socket, "/text/" + events, id, ReviewFleet.KEY,
+				"X-Request-Timeout-Ms: 14000\r\nX-Model: m\r\nX-Token-Count: 1000,6500\r\nX-Length-Hint: %d\r\nX-Prompt-Prefix: aa01:200,%x:800\r\n"
+					.formatted(hintEvents * TOKENS_PER_EVENT, id.hashCode()),
+				new byte[5_000]);
 		ReviewServer.Request answer = ReviewServer.Request.read(socket.getInputStream());
 		if (answer == null) {
 			fleet.note("caller got a closed channel for %s, nothing was answered", id);
@@ -167,45 +156,15 @@
 			fleet.note("caller got %d for %s", answer.status(), id);
 			return;
 		}
-		String text = readChunks(answer.input());
-		int received = text.split("id: ", -1).length - 1;
-		boolean complete = text.endsWith("<end>") && received == events;
+		ReviewClient.Body body = ReviewClient.readBody(answer);
+		int received = body.text().split("id: ", -1).length - 1;
+		boolean complete = body.complete() && received == events;
 		fleet.note("caller got 200 for %s with %d of %d events, complete: %s", id, received, events, complete);
 		if (!complete) {
 			cut.incrementAndGet();
 		}
 	}
 
-	// Appends a mark if the last chunk was received.
-	private static String readChunks(InputStream input) {
-		StringBuilder text = new StringBuilder();
-		try {
-			while (true) {
-				StringBuilder size = new StringBuilder();
-				int next = input.read();
-				while (next != '\n') {
-					if (next < 0) {
-						return text.toString();
-					}
-					size.append((char) next);
-					next = input.read();
-				}
-				int length = Integer.parseInt(size.toString().trim(), 16);
-				byte[] chunk = input.readNBytes(length + 2);
-				if (chunk.length < length + 2) {
-					return text.toString();
-				}
-				if (length == 0) {
-					return text + "<end>";
-				}
-				text.append(new String(chunk, 0, length, StandardCharsets.US_ASCII));
-			}
-		}
-		catch (IOException ex) {
-			return text.toString();
-		}
-	}
-
 	private static boolean stream(ReviewFleet fleet, ReviewServer.Request request, Socket socket) throws IOException {
 		request.readBody();
 		int events = Integer.parseInt(request.startLine().split("[/ ]")[3]);
--- a/review/standin/UnframedAnswerReset.java
+++ b/review/standin/UnframedAnswerReset.java
@@ -1,6 +1,5 @@
 package org.skylarkstack.platform;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -41,14 +40,14 @@
 				(request, socket) -> answer(fleet, trouble, request, socket));
 		fleet.announce("s-1", "plain", "", server.address(), 6, 1);
 		var callers = fleet.startDaemon("vm-1", fleet.store().address());
+		byte[] body = new byte[BODY_BYTES];
+		Arrays.fill(body, (byte) 'q');
 		boolean held = true;
 		for (int number = 0; number < REQUESTS; number++) {
 			String id = "req-" + number;
-			try (Socket socket = new Socket()) {
-				socket.connect(callers, 1_000);
-				socket.setSoTimeout(6_000);
+			try (Socket socket = ReviewClient.connect(callers)) {
 				fleet.note("client sends %s", id);
-				send(socket, id);
+				ReviewClient.post(socket, "/book/x", id, ReviewFleet.KEY, "X-Request-Timeout-Ms: 4000\r\n", body);
 				held &= check(fleet, id, trouble, socket);
 			}
 			Thread.sleep(500);
@@ -56,19 +55,6 @@
 		return held;
 	}
 
-	private static void send(Socket socket, String id) throws IOException {
-		byte[] body = new byte[BODY_BYTES];
-		Arrays.fill(body, (byte) 'q');
-		ByteArrayOutputStream message = new ByteArrayOutputStream();
-		message.writeBytes(("POST /book/x HTTP/1.1\r\nHost: review.example\r\nX-Request-Id: %s\r\n"
-				+ "X-Request-Timeout-Ms: 4000\r\nX-Credential: %s\r\nContent-Length: %d\r\n\r\n")
-			.formatted(id, ReviewFleet.KEY, body.length)
-			.getBytes(StandardCharsets.US_ASCII));
-		message.writeBytes(body);
-		socket.getOutputStream().write(message.toByteArray());
-		socket.getOutputStream().flush();
-	}
-
 	private static boolean check(ReviewFleet fleet, String id, boolean trouble, Socket socket) throws IOException {
 		ReviewServer.Request answer = ReviewServer.Request.read(socket.getInputStream());
 		if (answer == null) {
