--- a/review/build.sh
+++ b/review/build.sh
@@ -8,4 +8,5 @@
 # Only annotations are missing from the class path; they are not needed to compile.
 javac -nowarn -proc:none -d review/target -cp "$jar" \
   platform/src/test/java/org/skylarkstack/platform/StoreStandIn.java review/standin/*.java
+cp -r review/standin/wire review/target/wire
 echo "review: built"
--- a/review/standin/ReviewServer.java
+++ b/review/standin/ReviewServer.java
@@ -72,7 +72,7 @@
 			while (request != null) {
 				String expected = request.header("x-expect-instance");
 				if (!expected.isEmpty() && !expected.equals(this.id)) {
-					write(socket, 421, "X-Instance-Id: " + this.id + "\r\nX-Request-Id: " + request.id() + "\r\n", "");
+					write(socket, 421, Wire.text("other-instance-headers.txt", request.id(), this.id), "");
 				}
 				else if (!this.handler.handle(request, socket)) {
 					return;
