Begin late requests of a stop only if they are certain to end in time

Callers with idle connections to a stopping VM sent streams 3.0 to 3.3 s after SIGTERM.

Cause: DrainWindow compared the time left with a statistic of earlier streams. A stream may ask for more tokens than that. Ruled out by the log: requests before the signal, waits for an engine, retries.

A request that arrives 2.5 s or more after the signal now begins only if its deadline fits, or its largest number of tokens at the slower of the targets of its route and the pace of earlier streams. Before that the load balancer still sends requests and the estimate decides as before.

--- a/gateway/src/main/java/org/skylarkstack/gateway/Exchange.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/Exchange.java
@@ -344,6 +344,30 @@
 	 */
 	abstract long requiredMillis(long nowNanos);
 
+	/**
+	 * Returns the longest time until the request has ended if an attempt starts now: with
+	 * its complete response, or at its deadline.
+	 * @param nowNanos the current monotonic time in nanoseconds
+	 * @return the upper bound in milliseconds
+	 */
+	abstract long longestMillis(long nowNanos);
+
+	/**
+	 * Returns whether an attempt may start as far as the stop of the daemon is concerned.
+	 * A request that may have run is continued by estimate, because a refusal would not
+	 * tell its caller more than the end of the stop.
+	 * @param nowNanos the current monotonic time in nanoseconds
+	 * @return whether the daemon is not stopping, or the request fits into the time left
+	 */
+	final boolean fitsIntoStop(long nowNanos) {
+		DrainWindow window = this.components.state().drainWindow();
+		if (!window.isClosing()) {
+			return true;
+		}
+		boolean certain = this.verdict == Verdict.NOT_RUN && window.requiresCertainty(this.context.arrivedNanos());
+		return window.permits(certain ? longestMillis(nowNanos) : requiredMillis(nowNanos), nowNanos);
+	}
+
 	/**
 	 * Ends the request if no attempt may start any more: it is suspected of crashing
 	 * servers by now, or it would not be complete before the daemon stops.
@@ -352,7 +376,7 @@
 	 */
 	final boolean endIfNotStartable(long nowNanos) {
 		RouterException refusal = this.components.suspects().refusal(this.context, nowNanos);
-		if (refusal == null && !this.components.state().drainWindow().permits(requiredMillis(nowNanos), nowNanos)) {
+		if (refusal == null && !fitsIntoStop(nowNanos)) {
 			refusal = stopRefusal();
 		}
 		if (refusal == null) {
--- a/gateway/src/main/java/org/skylarkstack/gateway/ServiceExchange.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/ServiceExchange.java
@@ -44,6 +44,11 @@
 					context().remainingMillis(nowNanos));
 	}
 
+	@Override
+	long longestMillis(long nowNanos) {
+		return context().remainingMillis(nowNanos);
+	}
+
 	@Override
 	BackendRole serverRole() {
 		return BackendRole.NONE;
--- a/gateway/src/main/java/org/skylarkstack/gateway/StreamExchange.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/StreamExchange.java
@@ -141,8 +141,7 @@
 	@Override
 	public boolean isExpired(long nowNanos) {
 		long waitMillis = (long) (MAX_WAIT_IN_TARGETS * context().route().targetMillis());
-		return nowNanos - context().arrivedNanos() >= waitMillis * NANOS_PER_MILLI
-				|| !components().state().drainWindow().permits(requiredMillis(nowNanos), nowNanos);
+		return nowNanos - context().arrivedNanos() >= waitMillis * NANOS_PER_MILLI || !fitsIntoStop(nowNanos);
 	}
 
 	@Override
@@ -158,6 +157,24 @@
 					context().remainingMillis(nowNanos));
 	}
 
+	// The number of tokens is bounded by the request, and the time of an engine by the
+	// targets of the route or, if that is longer, by what engines took before.
+	@Override
+	long longestMillis(long nowNanos) {
+		long remainingMillis = context().remainingMillis(nowNanos);
+		if (context().facts().outputTokens() <= 0) {
+			return remainingMillis;
+		}
+		long tokens = Math.max(0,
+				context().facts().outputTokens() - this.eventBuffer.eventCount() * this.profile.tokensPerEvent());
+		long events = (tokens + this.profile.tokensPerEvent() - 1) / this.profile.tokensPerEvent();
+		long targetMillis = events * context().route().targetGapMillis();
+		long knownMillis = components().completionTimes()
+			.streamMillis(context().service().name(), tokens, remainingMillis);
+		long startMillis = (this.prefillResult.source() != null) ? 0 : context().route().targetMillis();
+		return Math.min(remainingMillis, startMillis + Math.max(targetMillis, knownMillis));
+	}
+
 	@Override
 	long retryAfterMillis() {
 		long spread = components().random().nextLong(MIN_RETRY_AFTER_MILLIS, MAX_RETRY_AFTER_MILLIS);
--- a/gateway/src/test/java/org/skylarkstack/gateway/DrainWindowTests.java
+++ b/gateway/src/test/java/org/skylarkstack/gateway/DrainWindowTests.java
@@ -38,6 +38,19 @@
 		assertThat(permits(100, 7_901)).isFalse();
 	}
 
+	/**
+	 * Guards against requests that begin by an estimate after the load balancer has
+	 * removed the daemon, and against a VM that takes no more requests at its signal.
+	 */
+	@Test
+	void requestsThatArriveAfterTheReleaseRequireCertainty() {
+		assertThat(this.window.requiresCertainty(Long.MAX_VALUE / 2)).isFalse();
+		this.window.begin(1_000 * MILLI, 7_000 * MILLI);
+		assertThat(this.window.requiresCertainty(900 * MILLI)).isFalse();
+		assertThat(this.window.requiresCertainty(2_900 * MILLI)).isFalse();
+		assertThat(this.window.requiresCertainty(4_000 * MILLI)).isTrue();
+	}
+
 	/** Guards against a second signal that extends the time beyond the kill. */
 	@Test
 	void aSecondBeginDoesNotMoveTheEnd() {
