Complete an unframed response only at the end of the server's output

Cause: BackendConnection took the end of the body for complete unless an exception event came before it. While the request is being sent, Netty flushes before it reads. The failed write closes the channel without an exception event, and the decoder ends the body because the channel is inactive.

The channel now allows half-closure, so that the end of the server's output is an event of its own. What is decoded after the channel has become inactive completes nothing. This holds for every call: services, prefill, decode, store.

--- a/gateway/src/main/java/org/skylarkstack/edge/BackendClient.java
+++ b/gateway/src/main/java/org/skylarkstack/edge/BackendClient.java
@@ -57,6 +57,9 @@
 		ChannelFuture connecting = new Bootstrap().group(this.loop)
 			.channel(NioSocketChannel.class)
 			.option(ChannelOption.TCP_NODELAY, true)
+			// Without this option, the end of the server's output cannot be told from
+			// other reasons for which the connection closes.
+			.option(ChannelOption.ALLOW_HALF_CLOSURE, true)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, this.connectTimeoutMillis)
 			.handler(new Initializer(connection))
 			.connect(request.address());
@@ -110,7 +113,7 @@
 		protected void initChannel(Channel channel) {
 			HttpDecoderConfig config = new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES);
 			channel.pipeline()
-				.addLast(this.connection.headLimiter(), new HttpClientCodec(config, false, false), this.connection);
+				.addLast(this.connection.inputGuard(), new HttpClientCodec(config, false, false), this.connection);
 		}
 
 	}
--- a/gateway/src/main/java/org/skylarkstack/edge/BackendConnection.java
+++ b/gateway/src/main/java/org/skylarkstack/edge/BackendConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -24,10 +25,12 @@
  *
  * <p>
  * A response is complete when it has reached its content length or its last chunk or, if
- * it has neither, when the server closes the connection normally. After a connection
- * reset, a response is never complete. A response that echoes the identifier of another
- * request is skipped, as are informational responses; the bytes before the head of the
- * response are bounded in total.
+ * it has neither, when the end of the server's output has been read. Nothing that follows
+ * a failed read or write completes a response: the failure may have discarded bytes, and
+ * the decoder ends a body without a length also when the connection has been closed for
+ * that reason. A response that echoes the identifier of another request is skipped, as
+ * are informational responses; the bytes before the head of the response are bounded in
+ * total.
  */
 final class BackendConnection extends ChannelInboundHandlerAdapter implements BackendCall {
 
@@ -58,8 +61,12 @@
 		this.channel = opened;
 	}
 
-	ChannelInboundHandlerAdapter headLimiter() {
-		return new HeadLimiter();
+	/**
+	 * Returns the handler that precedes the decoder.
+	 * @return the handler
+	 */
+	ChannelInboundHandlerAdapter inputGuard() {
+		return new InputGuard();
 	}
 
 	void expire() {
@@ -153,6 +160,14 @@
 		fail(BackendFailure.Kind.BROKEN);
 	}
 
+	// The end of the server's output has been decoded before this event arrives.
+	@Override
+	public void userEventTriggered(ChannelHandlerContext context, Object event) {
+		if (event instanceof ChannelInputShutdownEvent) {
+			fail(BackendFailure.Kind.BROKEN);
+		}
+	}
+
 	@Override
 	public void channelInactive(ChannelHandlerContext context) {
 		fail(BackendFailure.Kind.BROKEN);
@@ -194,11 +209,13 @@
 	}
 
 	/**
-	 * Fails the call if too many bytes arrive before the head of the response. The HTTP
-	 * decoder bounds a single head, but neither the number of heads that are skipped and
-	 * their bodies nor the line breaks before a head.
+	 * Observes the input before it is decoded. Fails the call if too many bytes arrive
+	 * before the head of the response: the HTTP decoder bounds a single head, but neither
+	 * the number of heads that are skipped and their bodies nor the line breaks before a
+	 * head. Also records that the connection has been closed without the end of the
+	 * server's output, as after a failed write.
 	 */
-	private final class HeadLimiter extends ChannelInboundHandlerAdapter {
+	private final class InputGuard extends ChannelInboundHandlerAdapter {
 
 		private long received;
 
@@ -211,6 +228,12 @@
 			}
 		}
 
+		@Override
+		public void channelInactive(ChannelHandlerContext context) {
+			BackendConnection.this.reset = true;
+			context.fireChannelInactive();
+		}
+
 	}
 
 }
--- a/gateway/src/test/java/org/skylarkstack/edge/BackendClientTests.java
+++ b/gateway/src/test/java/org/skylarkstack/edge/BackendClientTests.java
@@ -28,6 +28,10 @@
 
 	private static final int TIMEOUT_MILLIS = 5_000;
 
+	private static final int LONG_BODY_BYTES = 16 * 1024 * 1024;
+
+	private static final int READ_BYTES = 1_000;
+
 	private static final String OK = "HTTP/1.1 200 OK\r\nX-Id: mine\r\n";
 
 	private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -98,6 +102,34 @@
 		assertThat(call(OK + "\r\nhello", true)).isEqualTo("BROKEN MAY_HAVE_RUN");
 	}
 
+	// The server reads only the head of a request that is longer than all buffers on its
+	// way, responds, and resets the connection.
+	private String callWithUnreadBody(String response) throws Exception {
+		BackendRequest request = new BackendRequest((InetSocketAddress) this.listener.getLocalSocketAddress(), "POST",
+				"/a", new DefaultHttpHeaders().set("X-Id", "mine"), new byte[LONG_BODY_BYTES], "X-Id");
+		this.group.next().execute(() -> this.client.call(request, new Recorder()));
+		try (Socket socket = this.listener.accept()) {
+			socket.getInputStream().readNBytes(READ_BYTES);
+			socket.getOutputStream().write(response.getBytes(StandardCharsets.UTF_8));
+			socket.getOutputStream().flush();
+			Thread.sleep(100);
+			socket.setSoLinger(true, 0);
+		}
+		return String.valueOf(this.outcome.poll(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+	}
+
+	/**
+	 * Guards against treating a response without a length as complete when the server
+	 * resets the connection while the request is still being sent: the write fails before
+	 * the reset is read.
+	 */
+	@Test
+	void resetResponseToARequestThatIsBeingSentIsIncomplete() throws Exception {
+		assertThat(callWithUnreadBody(OK + "\r\nhello")).isEqualTo("BROKEN MAY_HAVE_RUN");
+		assertThat(callWithUnreadBody(OK + "Content-Length: 10\r\n\r\nhello")).isEqualTo("BROKEN MAY_HAVE_RUN");
+		assertThat(callWithUnreadBody(OK + "Content-Length: 5\r\n\r\nhello")).isEqualTo("200 hello");
+	}
+
 	/**
 	 * Guards against treating a response as complete when the server closes the
 	 * connection before the content length or the last chunk is reached.
