Do not complete an unframed response in the product's router after a failed write

Cause: OkHttp reads a response also after a failed write. The write has taken the error from the socket, so that the next read reports the end of the input. A reset after the request was sent is reported by the read and was treated correctly before.

SendTracker records the failed write, and CheckedBodyStream fails at the end of an incomplete body, also where a response is stored under an idempotency key.

--- a/gateway/src/main/java/org/skylarkstack/edge/BackendConnection.java
+++ b/gateway/src/main/java/org/skylarkstack/edge/BackendConnection.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -19,18 +20,17 @@
 import io.netty.util.ReferenceCountUtil;
 import org.jspecify.annotations.Nullable;
 import org.skylarkstack.kernel.Verdict;
+import org.skylarkstack.response.ResponseCompleteness;
 
 /**
  * Connection that carries a single call to a backend server.
  *
  * <p>
- * A response is complete when it has reached its content length or its last chunk or, if
- * it has neither, when the end of the server's output has been read. Nothing that follows
- * a failed read or write completes a response: the failure may have discarded bytes, and
- * the decoder ends a body without a length also when the connection has been closed for
- * that reason. A response that echoes the identifier of another request is skipped, as
- * are informational responses; the bytes before the head of the response are bounded in
- * total.
+ * {@link ResponseCompleteness} decides whether a response is complete. The decoder ends a
+ * body without a length also when the connection has been closed because of a failed
+ * write, so that this is recorded. A response that echoes the identifier of another
+ * request is skipped, as are informational responses; the bytes before the head of the
+ * response are bounded in total.
  */
 final class BackendConnection extends ChannelInboundHandlerAdapter implements BackendCall {
 
@@ -44,7 +44,7 @@
 
 	private boolean sent;
 
-	private boolean headSeen;
+	private @Nullable ResponseCompleteness completeness;
 
 	private boolean skipping;
 
@@ -119,11 +119,17 @@
 		this.skipping = response.status().codeClass() == HttpStatusClass.INFORMATIONAL
 				|| belongsToOtherRequest(response);
 		if (!this.skipping) {
-			this.headSeen = true;
+			this.completeness = new ResponseCompleteness(isFramed(response));
 			this.listener.head(response.status().code(), response.headers());
 		}
 	}
 
+	private static boolean isFramed(HttpResponse response) {
+		return HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response)
+				|| response.status().equals(HttpResponseStatus.NO_CONTENT)
+				|| response.status().equals(HttpResponseStatus.NOT_MODIFIED);
+	}
+
 	private boolean belongsToOtherRequest(HttpResponse response) {
 		String header = this.request.echoedHeader();
 		if (header == null) {
@@ -138,7 +144,8 @@
 			fail(BackendFailure.Kind.MALFORMED);
 			return;
 		}
-		if (this.skipping || !this.headSeen || this.reset) {
+		ResponseCompleteness current = this.completeness;
+		if (this.skipping || current == null) {
 			return;
 		}
 		ByteBuf bytes = content.content();
@@ -147,11 +154,17 @@
 			bytes.readBytes(part);
 			this.listener.data(part);
 		}
-		if (!this.done && content instanceof LastHttpContent) {
+		if (this.done || !(content instanceof LastHttpContent)) {
+			return;
+		}
+		if (current.isComplete(this.reset)) {
 			this.done = true;
 			close();
 			this.listener.ended();
 		}
+		else {
+			fail(BackendFailure.Kind.BROKEN);
+		}
 	}
 
 	@Override
@@ -223,7 +236,7 @@
 		public void channelRead(ChannelHandlerContext context, Object message) {
 			this.received += (message instanceof ByteBuf bytes) ? bytes.readableBytes() : 0;
 			context.fireChannelRead(message);
-			if (!BackendConnection.this.headSeen && this.received > MAX_BYTES_BEFORE_HEAD) {
+			if (BackendConnection.this.completeness == null && this.received > MAX_BYTES_BEFORE_HEAD) {
 				fail(BackendFailure.Kind.MALFORMED);
 			}
 		}
--- a/runtime/src/main/java/org/skylarkstack/engine/SendTracker.java
+++ b/runtime/src/main/java/org/skylarkstack/engine/SendTracker.java
@@ -17,6 +17,8 @@
 
 	private volatile boolean started;
 
+	private volatile boolean failed;
+
 	/**
 	 * Returns the event listener of a call.
 	 * @param call the call
@@ -32,6 +34,20 @@
 		this.started = true;
 	}
 
+	@Override
+	public void requestFailed(Call call, IOException failure) {
+		this.failed = true;
+	}
+
+	/**
+	 * Returns whether the request could not be sent completely. OkHttp reads a response
+	 * nevertheless.
+	 * @return whether a write has failed
+	 */
+	public boolean hasFailed() {
+		return this.failed;
+	}
+
 	/**
 	 * Returns the verdict on the call so far.
 	 * @return {@link Verdict#NOT_RUN} until the first byte may have left, then
--- a/runtime/src/main/java/org/skylarkstack/request/ServiceProxy.java
+++ b/runtime/src/main/java/org/skylarkstack/request/ServiceProxy.java
@@ -32,6 +32,7 @@
 import org.skylarkstack.kernel.RouterException;
 import org.skylarkstack.kernel.Verdict;
 import org.skylarkstack.misc.TimeSource;
+import org.skylarkstack.response.ResponseCompleteness;
 
 /**
  * Forwards requests to plain services and passes the responses back.
@@ -45,6 +46,10 @@
 
 	private static final int BUFFER_BYTES = 16 * 1024;
 
+	private static final int NO_CONTENT = 204;
+
+	private static final int NOT_MODIFIED = 304;
+
 	private static final Set<String> METHODS_WITH_BODY = Set.of("POST", "PUT", "PATCH");
 
 	private static final Set<String> METHODS_WITHOUT_BODY = Set.of("GET", "HEAD");
@@ -276,7 +281,8 @@
 		}
 
 		private void relay(Response response) throws IOException {
-			InputStream body = response.body().byteStream();
+			InputStream body = new CheckedBodyStream(response.body().byteStream(),
+					new ResponseCompleteness(isFramed(response)), this.tracker::hasFailed);
 			ByteArrayOutputStream buffered = (this.claimedRun != null) ? readAndRecordOutcome(response, body) : null;
 			List<Header> headers = new ArrayList<>();
 			response.headers().forEach((pair) -> headers.add(new Header(pair.getFirst(), pair.getSecond())));
@@ -301,6 +307,12 @@
 			}
 		}
 
+		private boolean isFramed(Response response) {
+			return response.body().contentLength() >= 0 || response.header("Transfer-Encoding") != null
+					|| "HEAD".equals(this.request.method()) || response.code() == NO_CONTENT
+					|| response.code() == NOT_MODIFIED;
+		}
+
 		private void writeToCaller(byte[] buffer, int length) {
 			try {
 				this.responseSink.write(buffer, length);
