Decide in one place whether a response is complete, for every route

Cause: only StreamExchange checked that a stream ends with an event; ServiceExchange took any end of the body for the end of the response. Neither the split of the route nor the missing length matters: streams with a length or chunks that end inside an event were relayed as well.

ResponseCompleteness now decides for every route of the gateway, in BackendConnection, and for the services of the product's router. The check of StreamExchange is removed.

--- a/gateway/src/main/java/org/skylarkstack/edge/BackendConnection.java
+++ b/gateway/src/main/java/org/skylarkstack/edge/BackendConnection.java
@@ -119,8 +119,8 @@
 		this.skipping = response.status().codeClass() == HttpStatusClass.INFORMATIONAL
 				|| belongsToOtherRequest(response);
 		if (!this.skipping) {
-			this.completeness = new ResponseCompleteness(isFramed(response));
 			this.listener.head(response.status().code(), response.headers());
+			this.completeness = new ResponseCompleteness(isFramed(response), this.listener.expectsEvents());
 		}
 	}
 
@@ -152,6 +152,7 @@
 		if (bytes.isReadable()) {
 			byte[] part = new byte[bytes.readableBytes()];
 			bytes.readBytes(part);
+			current.append(part, 0, part.length);
 			this.listener.data(part);
 		}
 		if (this.done || !(content instanceof LastHttpContent)) {
--- a/gateway/src/main/java/org/skylarkstack/edge/BackendFailure.java
+++ b/gateway/src/main/java/org/skylarkstack/edge/BackendFailure.java
@@ -28,7 +28,7 @@
 
 		/**
 		 * The connection was closed or reset after the request may have been sent, and
-		 * before the response was complete.
+		 * before the response was complete, or the response ended inside an event.
 		 */
 		BROKEN,
 
--- a/gateway/src/main/java/org/skylarkstack/edge/BackendListener.java
+++ b/gateway/src/main/java/org/skylarkstack/edge/BackendListener.java
@@ -15,6 +15,15 @@
 	 */
 	void head(int status, HttpHeaders headers);
 
+	/**
+	 * Returns whether the response is a stream of server-sent events, which is complete
+	 * only at the end of an event. Called after {@link #head(int, HttpHeaders)}.
+	 * @return {@code false} by default
+	 */
+	default boolean expectsEvents() {
+		return false;
+	}
+
 	/**
 	 * Called when a part of the response body has been received. Does nothing by default.
 	 * @param part the received bytes
--- a/gateway/src/main/java/org/skylarkstack/gateway/Attempt.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/Attempt.java
@@ -1,12 +1,14 @@
 package org.skylarkstack.gateway;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import org.jspecify.annotations.Nullable;
 import org.skylarkstack.edge.BackendFailure;
 import org.skylarkstack.edge.BackendListener;
 import org.skylarkstack.edge.BodyBuffer;
 import org.skylarkstack.kernel.Verdict;
+import org.skylarkstack.response.ResponseCompleteness;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -85,6 +87,14 @@
 		}
 	}
 
+	// A server of a stream route is not required to name the content type.
+	@Override
+	public final boolean expectsEvents() {
+		return executesRequest() && responseHead().success()
+				&& (this.exchange.context().route().kind() == RouteKind.STREAM
+						|| ResponseCompleteness.isEventStream(this.headers.get(HttpHeaderNames.CONTENT_TYPE, "")));
+	}
+
 	/**
 	 * Returns whether this attempt executes the request, rather than preparing it as a
 	 * prefill does.
--- a/gateway/src/main/java/org/skylarkstack/gateway/StreamExchange.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/StreamExchange.java
@@ -5,7 +5,6 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.util.concurrent.ScheduledFuture;
 import org.jspecify.annotations.Nullable;
@@ -517,10 +516,6 @@
 			else if (!head.success()) {
 				handleEngineError(head);
 			}
-			else if (StreamExchange.this.eventBuffer.hasPartial() || endedBeforeFirstEvent()) {
-				checkForCrash();
-				discardPartialAndRetry(new BackendFailure(BackendFailure.Kind.MALFORMED, Verdict.MAY_HAVE_RUN), true);
-			}
 			else {
 				combineVerdict(Verdict.RAN);
 				server().recordSuccess();
@@ -541,12 +536,6 @@
 						(System.nanoTime() - StreamExchange.this.responseStartedNanos) / NANOS_PER_MILLI);
 		}
 
-		// A body that ends with the connection may have been broken off anywhere.
-		private boolean endedBeforeFirstEvent() {
-			return !this.started && !headers().contains(HttpHeaderNames.CONTENT_LENGTH)
-					&& !headers().contains(HttpHeaderNames.TRANSFER_ENCODING);
-		}
-
 		private void retryAfterRefusal() {
 			server().recordFullRefusal(System.nanoTime());
 			retry(null, true);
--- a/runtime/src/main/java/org/skylarkstack/request/CheckedBodyStream.java
+++ b/runtime/src/main/java/org/skylarkstack/request/CheckedBodyStream.java
@@ -41,6 +41,9 @@
 		if (count < 0 && !this.completeness.isComplete(this.connectionFailed.getAsBoolean())) {
 			throw new EOFException("the response was broken off");
 		}
+		if (count > 0) {
+			this.completeness.append(buffer, offset, count);
+		}
 		return count;
 	}
 
--- a/runtime/src/main/java/org/skylarkstack/request/ServiceProxy.java
+++ b/runtime/src/main/java/org/skylarkstack/request/ServiceProxy.java
@@ -282,7 +282,7 @@
 
 		private void relay(Response response) throws IOException {
 			InputStream body = new CheckedBodyStream(response.body().byteStream(),
-					new ResponseCompleteness(isFramed(response)), this.tracker::hasFailed);
+					new ResponseCompleteness(isFramed(response), sendsEvents(response)), this.tracker::hasFailed);
 			ByteArrayOutputStream buffered = (this.claimedRun != null) ? readAndRecordOutcome(response, body) : null;
 			List<Header> headers = new ArrayList<>();
 			response.headers().forEach((pair) -> headers.add(new Header(pair.getFirst(), pair.getSecond())));
@@ -307,6 +307,10 @@
 			}
 		}
 
+		private boolean sendsEvents(Response response) {
+			return response.isSuccessful() && ResponseCompleteness.isEventStream(contentType(response));
+		}
+
 		private boolean isFramed(Response response) {
 			return response.body().contentLength() >= 0 || response.header("Transfer-Encoding") != null
 					|| "HEAD".equals(this.request.method()) || response.code() == NO_CONTENT
--- a/runtime/src/test/java/org/skylarkstack/request/BrokenOffResponseTests.java
+++ b/runtime/src/test/java/org/skylarkstack/request/BrokenOffResponseTests.java
@@ -13,6 +13,8 @@
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.skylarkstack.configuration.BackendServer;
 import org.skylarkstack.configuration.BackendService;
 import org.skylarkstack.configuration.ConfigurationHolder;
@@ -111,6 +113,40 @@
 		assertThat(failure.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
 	}
 
+	private void respondAndClose(String response) {
+		this.threads.execute(() -> {
+			try (Socket socket = this.listener.accept()) {
+				socket.getOutputStream().write(response.getBytes(StandardCharsets.UTF_8));
+				socket.shutdownOutput();
+				socket.getInputStream().readAllBytes();
+			}
+			catch (IOException ex) {
+				// The proxy closed the connection.
+			}
+		});
+	}
+
+	/**
+	 * Guards against a stream that was broken off inside an event and that the caller
+	 * receives as a complete one.
+	 */
+	@ParameterizedTest
+	@ValueSource(strings = { "\r\n", "Content-Length: 20\r\n\r\n" })
+	void streamThatEndsInsideAnEventIsIncomplete(String endOfHead) {
+		respondAndClose(OK + "Content-Type: text/event-stream\r\n" + endOfHead + "id: 1\ndata: a\n\nid: 2");
+		RouterException failure = Exceptions.assertThrows(RouterException.class, () -> run(READ_BYTES));
+		assertThat(failure.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+	}
+
+	/** Guards against a complete stream that is treated as broken off. */
+	@Test
+	void streamThatEndsWithAnEventIsComplete() {
+		String events = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n";
+		respondAndClose(OK + "Content-Type: text/event-stream\r\n\r\n" + events);
+		run(READ_BYTES);
+		assertThat(this.received.toString(StandardCharsets.UTF_8)).isEqualTo(events);
+	}
+
 	/** Guards against a complete response that is lost with the rest of the request. */
 	@Test
 	void responseWithItsLengthIsCompleteAlthoughTheRequestWasNotRead() {
