Write the log lines of the last batch when the process ends

The users' record of four lost requests has no line of the stop for two of them. One way to lose such a line: the writer takes the first line of a batch from the queue and waits 0.1 s for others, and the process ends meanwhile. A stream that is cut off at the end of a stop logs request-open-at-stop just then.

BoundedAppender.stop now ends the writer, which writes what it has taken. BoundedAppenderTests.noLineIsLostWhenTheAppenderStops failed before ("first" missing).

--- a/gateway/src/main/java/org/skylarkstack/logs/BoundedAppender.java
+++ b/gateway/src/main/java/org/skylarkstack/logs/BoundedAppender.java
@@ -29,12 +29,16 @@
 	// Lines logged within this time are written together.
 	private static final long BATCH_DELAY_MILLIS = 100;
 
+	private static final long STOP_TIMEOUT_MILLIS = 100;
+
 	private final BlockingQueue<String> queue = new ArrayBlockingQueue<>(MAX_QUEUED_LINES);
 
 	private final AtomicLong dropped = new AtomicLong();
 
 	private final PrintStream out;
 
+	private final Thread writer = new Thread(this::runWriter, "log-writer");
+
 	/**
 	 * Creates an appender.
 	 * @param out the stream to write the lines to
@@ -46,9 +50,8 @@
 	@Override
 	public void start() {
 		super.start();
-		Thread writer = new Thread(this::runWriter, "log-writer");
-		writer.setDaemon(true);
-		writer.start();
+		this.writer.setDaemon(true);
+		this.writer.start();
 	}
 
 	@Override
@@ -114,10 +117,20 @@
 		lines.clear();
 	}
 
-	/** Writes the queued lines. Called once, before the process ends. */
+	/**
+	 * Writes the queued lines, after those that the writer has taken from the queue.
+	 * Called once, before the process ends.
+	 */
 	@Override
 	public void stop() {
 		super.stop();
+		this.writer.interrupt();
+		try {
+			this.writer.join(STOP_TIMEOUT_MILLIS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
 		writeQueued(new ArrayList<>());
 	}
 
--- a/gateway/src/test/java/org/skylarkstack/logs/BoundedAppenderTests.java
+++ b/gateway/src/test/java/org/skylarkstack/logs/BoundedAppenderTests.java
@@ -7,6 +7,7 @@
 import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.LoggerContext;
 import ch.qos.logback.classic.spi.LoggingEvent;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.slf4j.event.KeyValuePair;
@@ -18,6 +19,29 @@
  */
 class BoundedAppenderTests {
 
+	/**
+	 * Guards against the loss of the first line of a batch, which the writer has taken
+	 * from the queue when the process ends.
+	 */
+	@Test
+	void noLineIsLostWhenTheAppenderStops() throws InterruptedException {
+		ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+		BoundedAppender appender = new BoundedAppender(new PrintStream(bytes, true, StandardCharsets.UTF_8));
+		appender.start();
+		appender.append(event("first"));
+		Thread.sleep(30);
+		appender.append(event("second"));
+		appender.stop();
+		assertThat(bytes.toString(StandardCharsets.UTF_8)).matches("(?s).*server=first\n.*server=second\n");
+	}
+
+	private static LoggingEvent event(String server) {
+		LoggingEvent event = new LoggingEvent("", new LoggerContext().getLogger("test"), Level.INFO, "", null,
+				new Object[0]);
+		event.addKeyValuePair(new KeyValuePair("server", server));
+		return event;
+	}
+
 	/**
 	 * Guards against an identifier of another process that adds a line or a field to the
 	 * log.
@@ -28,10 +52,7 @@
 	void aValueStaysWithinItsField(String value) {
 		ByteArrayOutputStream bytes = new ByteArrayOutputStream();
 		BoundedAppender appender = new BoundedAppender(new PrintStream(bytes, true, StandardCharsets.UTF_8));
-		LoggingEvent event = new LoggingEvent("", new LoggerContext().getLogger("test"), Level.INFO, "", null,
-				new Object[0]);
-		event.addKeyValuePair(new KeyValuePair("server", value));
-		appender.append(event);
+		appender.append(event(value));
 		appender.stop();
 		String text = bytes.toString(StandardCharsets.UTF_8);
 		assertThat(text).matches("time=\\S+ level=INFO server=\"[^\\p{Cc}\\p{Zl}\\p{Zp}\"]*\"\n");
