Bound the bodies of all requests of the gateway together

Operators reported a machine that ran out of memory; the review saw that request bodies have no common bound and that kept connections keep a buffer of the size of their largest body.

RequestBodyBudget bounds them from their announcement to their response. What exceeds it gets 503 with Retry-After as not run; small requests have a share of their own. A connection keeps no body, and a body of announced length is not copied.

EdgeServerTests.aBodyThatExceedsTheCommonBoundIsRefusedAsNotRun (2 cases) fails without the bound. Responses without end: nothing new found, covered by existing tests.

--- a/gateway/src/main/java/org/skylarkstack/edge/CallerConnection.java
+++ b/gateway/src/main/java/org/skylarkstack/edge/CallerConnection.java
@@ -1,6 +1,5 @@
 package org.skylarkstack.edge;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -31,6 +30,8 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.util.ReferenceCountUtil;
 import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Connection of a caller. Requests are handled one at a time: a pipelined request waits
@@ -41,17 +42,27 @@
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter {
 
+	private static final Logger log = LoggerFactory.getLogger(CallerConnection.class);
+
 	private static final int MAX_PIPELINED = 16;
 
 	private static final long LINGER_MILLIS = 500;
 
+	private static final int RETRY_AFTER_SECONDS = 1;
+
 	private static final long NANOS_PER_MILLI = 1_000_000;
 
 	private final EdgeServer server;
 
 	private final Deque<CallerRequest> pipelined = new ArrayDeque<>();
 
-	private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+	private RequestBodyStream body = new RequestBodyStream(0);
+
+	// Reserved for the request that is being received.
+	private long receivingBytes;
+
+	// Reserved for all requests of this connection that have not been answered.
+	private long reservedBytes;
 
 	private @Nullable Channel channel;
 
@@ -90,6 +101,8 @@
 		this.ignoringInput = true;
 		this.pipelined.clear();
 		this.server.remove(this);
+		this.body = new RequestBodyStream(0);
+		release(this.reservedBytes);
 		Exchange open = this.exchange;
 		if (open != null) {
 			open.connectionClosed();
@@ -140,8 +153,16 @@
 			reject(400, "content length and transfer encoding exclude each other");
 			return;
 		}
+		long announcedBytes = HttpUtil.getContentLength(request, 0L);
+		if (announcedBytes > this.server.currentLimits().maxBodyBytes()) {
+			reject(413, "the request body is too large");
+			return;
+		}
+		if (!reserve(announcedBytes)) {
+			return;
+		}
 		this.head = request;
-		this.body.reset();
+		this.body = new RequestBodyStream((int) announcedBytes);
 		if (HttpUtil.is100ContinueExpected(request)) {
 			channel().writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
 		}
@@ -157,6 +178,10 @@
 			reject(413, "the request body is too large");
 			return;
 		}
+		long missingBytes = this.body.size() + bytes.readableBytes() - this.receivingBytes;
+		if (missingBytes > 0 && !reserve(missingBytes)) {
+			return;
+		}
 		byte[] part = new byte[bytes.readableBytes()];
 		bytes.readBytes(part);
 		this.body.writeBytes(part);
@@ -165,10 +190,31 @@
 		}
 	}
 
+	private boolean reserve(long bytes) {
+		if (!this.server.bodyBudget().tryReserve(this.receivingBytes, bytes)) {
+			log.atWarn()
+				.addKeyValue("event", "request-body-refused")
+				.addKeyValue("bytes", this.receivingBytes + bytes)
+				.addKeyValue("reservedBytes", this.server.bodyBudget().totalBytes())
+				.log();
+			reject(503, "too many request bodies are being processed");
+			return false;
+		}
+		this.receivingBytes += bytes;
+		this.reservedBytes += bytes;
+		return true;
+	}
+
+	private void release(long bytes) {
+		this.reservedBytes -= bytes;
+		this.server.bodyBudget().release(bytes);
+	}
+
 	private void complete() {
 		HttpRequest request = this.head;
 		this.head = null;
 		this.receiving = false;
+		this.receivingBytes = 0;
 		if (request == null) {
 			return;
 		}
@@ -176,6 +222,7 @@
 		CallerRequest callerRequest = new CallerRequest(request.method().name(), request.uri(), request.headers(),
 				this.body.toByteArray(), HttpUtil.isKeepAlive(request),
 				new RequestArrival(this.requestCount, this.receivingSinceNanos));
+		this.body = new RequestBodyStream(0);
 		if (this.exchange == null) {
 			dispatch(callerRequest);
 		}
@@ -188,13 +235,14 @@
 	}
 
 	private void dispatch(CallerRequest request) {
-		Exchange opened = new Exchange(!request.keepAlive());
+		Exchange opened = new Exchange(!request.keepAlive(), request.body().length);
 		this.exchange = opened;
 		this.server.handler().handle(request, opened);
 	}
 
-	private void exchangeEnded(boolean close) {
+	private void exchangeEnded(Exchange ended, boolean close) {
 		this.exchange = null;
+		release(ended.requestBytes);
 		this.idleSinceNanos = System.nanoTime();
 		if (close) {
 			closeAfterLinger();
@@ -206,8 +254,13 @@
 		}
 	}
 
+	// The request has not been handled.
 	private void reject(int status, String reason) {
 		this.ignoringInput = true;
+		this.head = null;
+		this.body = new RequestBodyStream(0);
+		release(this.receivingBytes);
+		this.receivingBytes = 0;
 		if (this.exchange != null) {
 			// The previous response is not complete yet, and nothing may be written
 			// before its end. The connection closes after it.
@@ -218,6 +271,9 @@
 				Unpooled.wrappedBuffer((reason + "\n").getBytes(StandardCharsets.UTF_8)));
 		HttpUtil.setContentLength(response, response.content().readableBytes());
 		response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+		if (status == 503) {
+			response.headers().set(HttpHeaderNames.RETRY_AFTER, RETRY_AFTER_SECONDS);
+		}
 		channel().writeAndFlush(response);
 		closeAfterLinger();
 	}
@@ -290,6 +346,8 @@
 
 		private final boolean closeAfter;
 
+		private final long requestBytes;
+
 		private @Nullable Runnable disconnectAction;
 
 		private Runnable writableAction = () -> {
@@ -301,8 +359,9 @@
 
 		private boolean closeAnnounced;
 
-		Exchange(boolean closeAfter) {
+		Exchange(boolean closeAfter, long requestBytes) {
 			this.closeAfter = closeAfter;
+			this.requestBytes = requestBytes;
 		}
 
 		@Override
@@ -317,7 +376,7 @@
 			HttpUtil.setContentLength(response, content.length);
 			boolean close = markClose(response);
 			channel().writeAndFlush(response);
-			exchangeEnded(close);
+			exchangeEnded(this, close);
 		}
 
 		@Override
@@ -361,7 +420,7 @@
 			}
 			this.done = true;
 			channel().writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
-			exchangeEnded(this.closeAnnounced || closesAfterResponse());
+			exchangeEnded(this, this.closeAnnounced || closesAfterResponse());
 		}
 
 		@Override
--- a/gateway/src/main/java/org/skylarkstack/edge/EdgeServer.java
+++ b/gateway/src/main/java/org/skylarkstack/edge/EdgeServer.java
@@ -35,6 +35,8 @@
 
 	private final Supplier<EdgeLimits> limits;
 
+	private final RequestBodyBudget bodyBudget;
+
 	private final Set<CallerConnection> connections = new LinkedHashSet<>();
 
 	private @Nullable Channel listener;
@@ -46,11 +48,14 @@
 	 * @param loop the event loop that all its connections run on
 	 * @param handler handles the requests
 	 * @param limits supplies the current limits
+	 * @param bodyBudget bounds the bodies of all requests together
 	 */
-	public EdgeServer(EventLoop loop, CallerHandler handler, Supplier<EdgeLimits> limits) {
+	public EdgeServer(EventLoop loop, CallerHandler handler, Supplier<EdgeLimits> limits,
+			RequestBodyBudget bodyBudget) {
 		this.loop = loop;
 		this.handler = handler;
 		this.limits = limits;
+		this.bodyBudget = bodyBudget;
 	}
 
 	/**
@@ -104,6 +109,10 @@
 		return this.limits.get();
 	}
 
+	RequestBodyBudget bodyBudget() {
+		return this.bodyBudget;
+	}
+
 	CallerHandler handler() {
 		return this.handler;
 	}
--- a/gateway/src/test/java/org/skylarkstack/edge/EdgeServerTests.java
+++ b/gateway/src/test/java/org/skylarkstack/edge/EdgeServerTests.java
@@ -20,6 +20,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -33,6 +35,10 @@
 	// More than the socket buffers of both ends hold.
 	private static final int LARGE_BYTES = 32 * 1024 * 1024;
 
+	private static final int BODY_BUDGET_BYTES = 1_000_000;
+
+	private static final int BODY_BYTES = 300_000;
+
 	private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 
 	private final BlockingQueue<String> events = new LinkedBlockingQueue<>();
@@ -41,7 +47,9 @@
 
 	private EdgeLimits limits = new EdgeLimits(2_048, 1_000, 300, 10_000);
 
-	private EdgeServer server = new EdgeServer(this.group.next(), this::handle, () -> this.limits);
+	private final RequestBodyBudget bodyBudget = new RequestBodyBudget(BODY_BUDGET_BYTES);
+
+	private EdgeServer server = new EdgeServer(this.group.next(), this::handle, () -> this.limits, this.bodyBudget);
 
 	private InetSocketAddress address = new InetSocketAddress(0);
 
@@ -117,6 +125,76 @@
 		assertThat(event()).isEqualTo("gone");
 	}
 
+	private static String post(String path, boolean chunked, int bytes) {
+		String body = "x".repeat(bytes);
+		return "POST %s HTTP/1.1\r\nHost: x\r\n".formatted(path)
+				+ (chunked ? "Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n".formatted(bytes, body)
+						: "Content-Length: %d\r\n\r\n%s".formatted(bytes, body));
+	}
+
+	private long reservedBytes() throws Exception {
+		return this.group.next().submit(this.bodyBudget::totalBytes).get();
+	}
+
+	/**
+	 * Guards against request bodies that fill the heap together, so that requests of
+	 * other callers are closed without an answer.
+	 */
+	@ParameterizedTest
+	@ValueSource(booleans = { false, true })
+	void aBodyThatExceedsTheCommonBoundIsRefusedAsNotRun(boolean chunked) throws Exception {
+		this.limits = new EdgeLimits(2_048, 1_000_000, 5_000, 10_000);
+		try (Socket first = connect(post("/hold", chunked, BODY_BYTES));
+				Socket second = connect(post("/hold", chunked, BODY_BYTES))) {
+			assertThat(event()).isEqualTo("POST /hold " + BODY_BYTES);
+			assertThat(event()).isEqualTo("POST /hold " + BODY_BYTES);
+			try (Socket third = connect(post("/third", chunked, BODY_BYTES))) {
+				assertThat(readAll(third)).matches("(?s)HTTP/1.1 503 .*retry-after: 1\r\n.*");
+			}
+			try (Socket small = connect(post("/small", chunked, 500))) {
+				assertThat(readSome(small, "/small")).startsWith("HTTP/1.1 200 ");
+			}
+			assertThat(event()).isEqualTo("POST /small 500");
+			this.group.next().execute(() -> this.held.remove().send(200, new DefaultHttpHeaders(), new byte[0]));
+			assertThat(readSome(first, "\r\n\r\n")).startsWith("HTTP/1.1 200 ");
+			try (Socket fourth = connect(post("/fourth", chunked, BODY_BYTES))) {
+				assertThat(readSome(fourth, "/fourth")).startsWith("HTTP/1.1 200 ");
+			}
+			assertThat(reservedBytes()).isEqualTo(BODY_BYTES);
+		}
+	}
+
+	/**
+	 * Guards against memory that stays reserved: for connections that stay open, for
+	 * pipelined requests, and for callers that disconnect or send too much.
+	 */
+	@Test
+	void theMemoryOfABodyIsReleasedHoweverTheRequestEnds() throws Exception {
+		this.limits = new EdgeLimits(2_048, 1_000_000, 5_000, 10_000);
+		try (Socket kept = connect(post("/first", false, BODY_BYTES) + post("/second", true, BODY_BYTES))) {
+			assertThat(readSome(kept, "/second")).contains("/first");
+			assertThat(reservedBytes()).isEqualTo(0);
+		}
+		try (Socket held = connect(post("/hold", false, 100_000) + post("/behind", false, 100_000));
+				Socket unfinished = connect("POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 400000\r\n\r\nx")) {
+			await(600_000);
+		}
+		await(0);
+		this.limits = new EdgeLimits(2_048, 1_000, 5_000, 10_000);
+		try (Socket tooLarge = connect(post("/x", true, 1_001))) {
+			assertThat(readAll(tooLarge)).startsWith("HTTP/1.1 413 ");
+		}
+		await(0);
+	}
+
+	private void await(long reservedBytes) throws Exception {
+		long start = System.nanoTime();
+		while (reservedBytes() != reservedBytes) {
+			assertThat(System.nanoTime() - start).isLessThan(TimeUnit.MILLISECONDS.toNanos(READ_TIMEOUT_MILLIS));
+			Thread.sleep(20);
+		}
+	}
+
 	/**
 	 * Guards against losing a pipelined request, and against handling it or sending its
 	 * response before the previous response is complete.
