Bound the bodies of all requests of the product's router together

The product's router had the cause of the gateway's exhausted heap as well: each of its 2,400 open requests could hold a body of 4 MB.

A slot of OpenRequests now reserves the memory of the body, when its length is announced or as it arrives, up to a quarter of the heap for all requests.

OpenRequestsTests.bodiesAreBoundedTogether covers the bound; it needs the new methods and so could not run before. Not measured under load.

--- a/runtime/src/main/java/org/skylarkstack/http/BodyReader.java
+++ b/runtime/src/main/java/org/skylarkstack/http/BodyReader.java
@@ -9,6 +9,7 @@
 import org.skylarkstack.kernel.RouterException;
 import org.skylarkstack.kernel.Verdict;
 import org.skylarkstack.misc.TimeSource;
+import org.skylarkstack.request.OpenRequests;
 import org.skylarkstack.settings.CallerLimits;
 
 /**
@@ -35,15 +36,17 @@
 	 * Reads a body.
 	 * @param input the stream of the body
 	 * @param contentLength the announced length in bytes, or -1 if it is unknown
-	 * @param cancellation interrupts the calling thread to end the request
+	 * @param slot reserves the memory of the body, and interrupts the calling thread to
+	 * end the request
 	 * @return the body
-	 * @throws RouterException if the body is too large, slow or cut off, or if the
-	 * request is cancelled; it has not run
+	 * @throws RouterException if the body is too large, alone or with those of other
+	 * requests, slow or cut off, or if the request is cancelled; it has not run
 	 */
-	byte[] read(InputStream input, long contentLength, Cancellation cancellation) {
+	byte[] read(InputStream input, long contentLength, OpenRequests.Slot slot) {
+		Cancellation cancellation = slot.cancellation();
 		Thread reading = Thread.currentThread();
 		try (Cancellation.Registration registration = cancellation.onCancel(reading::interrupt)) {
-			return read(input, contentLength);
+			return readAll(input, contentLength, slot);
 		}
 		catch (RouterException ex) {
 			cancellation.check(Verdict.NOT_RUN);
@@ -56,15 +59,17 @@
 		}
 	}
 
-	private byte[] read(InputStream input, long contentLength) {
+	private byte[] readAll(InputStream input, long contentLength, OpenRequests.Slot slot) {
 		if (contentLength > this.limits.maxBodyBytes()) {
 			throw new RouterException(ErrorType.BODY_TOO_LARGE, this.limits.maxBodyBytes());
 		}
 		long started = this.time.nanos();
+		slot.reserveBody(contentLength);
 		ByteArrayOutputStream body = new ByteArrayOutputStream((int) Math.max(0, contentLength));
 		byte[] buffer = new byte[BUFFER_BYTES];
 		try {
 			for (int length = input.read(buffer); length >= 0; length = input.read(buffer)) {
+				slot.reserveBody(body.size() + length);
 				body.write(buffer, 0, length);
 				if (body.size() > this.limits.maxBodyBytes()) {
 					throw new RouterException(ErrorType.BODY_TOO_LARGE, this.limits.maxBodyBytes());
--- a/runtime/src/main/java/org/skylarkstack/http/CallerApi.java
+++ b/runtime/src/main/java/org/skylarkstack/http/CallerApi.java
@@ -192,8 +192,7 @@
 		String keyHash = this.authenticator.keyHash(context.header("Authorization"));
 		Team team = this.authenticator.team(keyHash);
 		boolean idempotent = !IdempotencyKeyHandler.marksNonIdempotent(context);
-		byte[] body = this.bodies.read(context.req().getInputStream(), context.req().getContentLengthLong(),
-				slot.cancellation());
+		byte[] body = this.bodies.read(context.req().getInputStream(), context.req().getContentLengthLong(), slot);
 		CompletionRequest request = CompletionRequest.parse(context.path(), parse(body), idempotent);
 		if (this.configuration.current().engines(request.model()).isEmpty()) {
 			throw new RouterException(ErrorType.UNKNOWN_MODEL, request.model());
--- a/runtime/src/main/java/org/skylarkstack/http/ServiceApi.java
+++ b/runtime/src/main/java/org/skylarkstack/http/ServiceApi.java
@@ -87,8 +87,7 @@
 		if (!key.isEmpty() && query != null && query.contains(key)) {
 			throw new RouterException(ErrorType.BAD_REQUEST, "the API key must not be part of the query");
 		}
-		byte[] body = this.bodies.read(context.req().getInputStream(), context.req().getContentLengthLong(),
-				slot.cancellation());
+		byte[] body = this.bodies.read(context.req().getInputStream(), context.req().getContentLengthLong(), slot);
 		JettyConnection connection = new JettyConnection(context);
 		OpenRequest open = new OpenRequest(keyHash, teamId, "", slot.cancellation());
 		try (CallerExchange exchange = new CallerExchange(this.openRequests, this.disconnectMonitor, connection,
--- a/runtime/src/main/java/org/skylarkstack/request/OpenRequests.java
+++ b/runtime/src/main/java/org/skylarkstack/request/OpenRequests.java
@@ -29,8 +29,15 @@
 
 	private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
 
+	// A body is copied when it is parsed and when it is sent.
+	private static final int BODY_HEAP_DIVISOR = 4;
+
 	private final int maxOpen;
 
+	private final long maxBodyBytes;
+
+	private final AtomicLong bodyBytes = new AtomicLong();
+
 	private final ConfigurationHolder configuration;
 
 	private final AtomicInteger slots = new AtomicInteger();
@@ -48,12 +55,24 @@
 	private volatile boolean ending;
 
 	/**
-	 * Creates the registry.
+	 * Creates the registry with a bound on all request bodies that is a share of the
+	 * heap.
 	 * @param maxOpen the maximum number of open requests
 	 * @param configuration contains the valid API keys
 	 */
 	public OpenRequests(int maxOpen, ConfigurationHolder configuration) {
+		this(maxOpen, Runtime.getRuntime().maxMemory() / BODY_HEAP_DIVISOR, configuration);
+	}
+
+	/**
+	 * Creates the registry.
+	 * @param maxOpen the maximum number of open requests
+	 * @param maxBodyBytes the maximum size of all request bodies together, in bytes
+	 * @param configuration contains the valid API keys
+	 */
+	OpenRequests(int maxOpen, long maxBodyBytes, ConfigurationHolder configuration) {
 		this.maxOpen = maxOpen;
+		this.maxBodyBytes = maxBodyBytes;
 		this.configuration = configuration;
 		configuration.onChange(this::endWithdrawn);
 	}
@@ -166,9 +185,29 @@
 
 		private final Cancellation cancellation = new Cancellation();
 
+		// Written by the thread of the request alone.
+		private long reservedBytes;
+
 		private Slot() {
 		}
 
+		/**
+		 * Reserves memory for the body of the request until the slot is closed.
+		 * @param bytes the size of the body so far or as announced, in bytes
+		 * @throws RouterException if the bodies of all open requests would be too large
+		 */
+		public void reserveBody(long bytes) {
+			long missing = bytes - this.reservedBytes;
+			if (missing <= 0) {
+				return;
+			}
+			if (OpenRequests.this.bodyBytes.addAndGet(missing) > OpenRequests.this.maxBodyBytes) {
+				OpenRequests.this.bodyBytes.addAndGet(-missing);
+				throw RouterException.retryAfter(ErrorType.TOO_MANY_REQUESTS, RETRY_AFTER);
+			}
+			this.reservedBytes = bytes;
+		}
+
 		/**
 		 * Returns the cancellation that ends the request, from before it is read.
 		 * @return the cancellation
@@ -201,6 +240,7 @@
 			if (this.closed.compareAndSet(false, true)) {
 				OpenRequests.this.openSlots.remove(this);
 				OpenRequests.this.slots.decrementAndGet();
+				OpenRequests.this.bodyBytes.addAndGet(-this.reservedBytes);
 			}
 		}
 
--- a/runtime/src/test/java/org/skylarkstack/request/OpenRequestsTests.java
+++ b/runtime/src/test/java/org/skylarkstack/request/OpenRequestsTests.java
@@ -33,6 +33,24 @@
 		assertThat(this.fixture.openRequests.openCount()).isEqualTo(9);
 	}
 
+	// Guards against request bodies that fill the heap together, and against memory that
+	// stays reserved.
+	@Test
+	void bodiesAreBoundedTogether() {
+		OpenRequests requests = new OpenRequests(10, 1_000, this.fixture.configuration);
+		OpenRequests.Slot first = requests.acquireSlot();
+		first.reserveBody(400);
+		first.reserveBody(600);
+		OpenRequests.Slot second = requests.acquireSlot();
+		RouterException refusal = Exceptions.assertThrows(RouterException.class, () -> second.reserveBody(401));
+		assertThat(refusal.type()).isEqualTo(ErrorType.TOO_MANY_REQUESTS);
+		assertThat(refusal.retryAfter()).isNotNull();
+		second.reserveBody(400);
+		first.close();
+		first.close();
+		second.reserveBody(1_000);
+	}
+
 	// Guards against a request that keeps running because its key was withdrawn between
 	// the check of the key and the registration.
 	@Test
