Begin queued completions late in a shutdown only if they are certain to end in time

After the release time a completion that has not run now begins only if all its output tokens fit, at the slowest recent pace. For plain services, whose routes have no timeout, the longest recent duration decides.

RequestPipelineTests.queuedRequestBeginsAfterTheReleaseOnlyIfItsLongestDurationFits failed before ("expected RouterException, but nothing was thrown").

--- a/runtime/src/main/java/org/skylarkstack/request/CompletionRun.java
+++ b/runtime/src/main/java/org/skylarkstack/request/CompletionRun.java
@@ -143,7 +143,7 @@
 	}
 
 	private long expectedNanos() {
-		return this.components.shutdownAdmission().durations().completionNanos(this.request, this.cursor.delivered());
+		return this.components.shutdownAdmission().completionNanos(this.request, this.cursor.delivered(), this.verdict);
 	}
 
 	private boolean hasTimeLeft() {
--- a/runtime/src/main/java/org/skylarkstack/request/RequestDurations.java
+++ b/runtime/src/main/java/org/skylarkstack/request/RequestDurations.java
@@ -84,10 +84,23 @@
 	long completionNanos(CompletionRequest request, int delivered) {
 		int bound = request.maxOutputTokens();
 		long output = values(this.outputs, outputKey(request.model(), bound)).quantile(USUAL_SHARE).orElse(bound);
-		long tokens = Math.max(1, Math.min(bound, output) - delivered);
-		long gap = values(this.tokenGaps, request.model()).quantile(USUAL_SHARE).orElse(TOKEN_GAP_TARGET_NANOS);
-		return values(this.firstTokens, request.model()).quantile(USUAL_SHARE).orElse(FIRST_TOKEN_TARGET_NANOS)
-				+ (tokens - 1) * gap;
+		return completionNanos(request.model(), Math.min(bound, output) - delivered, USUAL_SHARE);
+	}
+
+	/**
+	 * Returns the time from the placement of a completion to its last token if it uses
+	 * all its output tokens, as slowly as the slowest recent completion.
+	 * @param request the request
+	 * @return the duration in nanoseconds
+	 */
+	long longestCompletionNanos(CompletionRequest request) {
+		return completionNanos(request.model(), request.maxOutputTokens(), 1);
+	}
+
+	private long completionNanos(String model, long tokens, double share) {
+		long gap = values(this.tokenGaps, model).quantile(share).orElse(TOKEN_GAP_TARGET_NANOS);
+		return values(this.firstTokens, model).quantile(share).orElse(FIRST_TOKEN_TARGET_NANOS)
+				+ (Math.max(1, tokens) - 1) * gap;
 	}
 
 }
--- a/runtime/src/main/java/org/skylarkstack/request/RequestPipeline.java
+++ b/runtime/src/main/java/org/skylarkstack/request/RequestPipeline.java
@@ -29,7 +29,8 @@
 	 */
 	public void checkTimeLeft(CompletionRequest request) {
 		this.components.shutdownAdmission()
-			.check(request.model(), () -> this.components.shutdownAdmission().durations().completionNanos(request, 0),
+			.check(request.model(),
+					() -> this.components.shutdownAdmission().completionNanos(request, 0, Verdict.NOT_RUN),
 					Verdict.NOT_RUN, this.components.time().nanos());
 	}
 
--- a/runtime/src/main/java/org/skylarkstack/request/ServiceProxy.java
+++ b/runtime/src/main/java/org/skylarkstack/request/ServiceProxy.java
@@ -101,17 +101,19 @@
 	 * @throws RouterException if the request is refused
 	 */
 	public void checkTimeLeft(Route route, boolean idempotent) {
-		this.shutdownAdmission.check(route.id(), () -> expectedNanos(route, idempotent), Verdict.NOT_RUN,
-				this.time.nanos());
+		this.shutdownAdmission.check(route.id(), () -> expectedNanos(route, idempotent, Verdict.NOT_RUN),
+				Verdict.NOT_RUN, this.time.nanos());
 	}
 
-	private long expectedNanos(Route route, boolean idempotent) {
-		return this.shutdownAdmission.durations().serviceNanos(route.id(), idempotent);
+	// Routes have no timeout, so that the longest recent duration is the best bound.
+	private long expectedNanos(Route route, boolean idempotent, Verdict verdict) {
+		return this.shutdownAdmission.durations()
+			.serviceNanos(route.id(), idempotent && !this.shutdownAdmission.requiresCertainty(verdict));
 	}
 
 	private boolean hasTimeLeft(ServiceRequest request, Verdict verdict) {
 		return this.shutdownAdmission.permits(request.route().id(),
-				() -> expectedNanos(request.route(), request.idempotent()), verdict, this.time.nanos());
+				() -> expectedNanos(request.route(), request.idempotent(), verdict), verdict, this.time.nanos());
 	}
 
 	/**
--- a/runtime/src/main/java/org/skylarkstack/request/ShutdownAdmission.java
+++ b/runtime/src/main/java/org/skylarkstack/request/ShutdownAdmission.java
@@ -40,6 +40,30 @@
 		this.sequence = sequence;
 	}
 
+	/**
+	 * Returns whether work may begin only if its longest duration fits into the time
+	 * left. While the load balancer still sends requests to this daemon, the usual
+	 * duration suffices. A request that may have run is continued by its usual duration,
+	 * because a refusal would tell its caller no more than the end of the shutdown.
+	 * @param verdict whether the request may have run so far
+	 * @return whether the longest duration counts
+	 */
+	boolean requiresCertainty(Verdict verdict) {
+		return verdict == Verdict.NOT_RUN && this.sequence.phase().refusesNew();
+	}
+
+	/**
+	 * Returns the duration of a completion that decides whether it may begin.
+	 * @param request the request
+	 * @param delivered the number of output tokens that the caller already has
+	 * @param verdict whether the request may have run so far
+	 * @return the duration in nanoseconds
+	 */
+	long completionNanos(CompletionRequest request, int delivered, Verdict verdict) {
+		return requiresCertainty(verdict) ? this.durations.longestCompletionNanos(request)
+				: this.durations.completionNanos(request, delivered);
+	}
+
 	RequestDurations durations() {
 		return this.durations;
 	}
--- a/runtime/src/main/java/org/skylarkstack/request/ShutdownSequence.java
+++ b/runtime/src/main/java/org/skylarkstack/request/ShutdownSequence.java
@@ -116,6 +116,14 @@
 			return this == SERVING;
 		}
 
+		/**
+		 * Returns whether the daemon refuses new requests.
+		 * @return whether the time for the load balancer is over
+		 */
+		boolean refusesNew() {
+			return compareTo(RELEASING) > 0;
+		}
+
 	}
 
 }
--- a/runtime/src/test/java/org/skylarkstack/request/RequestPipelineTests.java
+++ b/runtime/src/test/java/org/skylarkstack/request/RequestPipelineTests.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.skylarkstack.configuration.ObjectKind;
@@ -212,6 +213,36 @@
 		assertThat(this.engines.prefillsAndDecodes()).isEmpty();
 	}
 
+	private void runBounded(int maxTokens) {
+		this.fixture.run(CompletionRequest.parse("/v1/completions",
+				JsonNodeFactory.instance.objectNode()
+					.put("model", "model")
+					.put("prompt", "hello")
+					.put("max_tokens", maxTokens),
+				false), new Cancellation(), (event) -> {
+				});
+	}
+
+	// Guards against a request that leaves the queue after the release time and begins
+	// because earlier ones used few of their output tokens.
+	@Test
+	void queuedRequestBeginsAfterTheReleaseOnlyIfItsLongestDurationFits() {
+		this.engines.decodeFaults.add(new DecodeFault(3, () -> this.fixture.time.advanceMillis(50)));
+		runBounded(1_000);
+		int work = this.engines.prefillsAndDecodes().size();
+		this.fixture.onPlace = () -> {
+			this.fixture.shutdown.begin(this.fixture.time.nanos());
+			this.fixture.time.advanceMillis(2_100);
+			this.fixture.shutdown.poll(1, this.fixture.time.nanos());
+		};
+		RouterException failure = Exceptions.assertThrows(RouterException.class, () -> runBounded(1_000));
+		assertThat(failure.verdict()).isEqualTo(Verdict.NOT_RUN);
+		assertThat(this.engines.prefillsAndDecodes()).hasSize(work);
+		this.fixture.onPlace = () -> {
+		};
+		runBounded(100);
+	}
+
 	// Guards against a resume that a shutdown would end, and against a verdict that
 	// denies the first attempt.
 	@Test
