--- a/gateway/src/main/java/org/skylarkstack/edge/BackendConnection.java
+++ b/gateway/src/main/java/org/skylarkstack/edge/BackendConnection.java
@@ -26,11 +26,11 @@
  * Connection that carries a single call to a backend server.
  *
  * <p>
- * {@link ResponseCompleteness} decides whether a response is complete. The decoder ends a
- * body without a length also when the connection has been closed because of a failed
- * write, so that this is recorded. A response that echoes the identifier of another
- * request is skipped, as are informational responses; the bytes before the head of the
- * response are bounded in total.
+ * {@link ResponseCompleteness} decides whether a response is complete. The decoder does
+ * not tell the end of a body without a length from a connection that was closed because
+ * of a failed write; {@link InputGuard} does. A response that echoes the identifier of
+ * another request is skipped, as are informational responses; the bytes before the head
+ * of the response are bounded in total.
  */
 final class BackendConnection extends ChannelInboundHandlerAdapter implements BackendCall {
 
--- a/gateway/src/main/java/org/skylarkstack/edge/RequestBodyBudget.java
+++ b/gateway/src/main/java/org/skylarkstack/edge/RequestBodyBudget.java
@@ -15,9 +15,8 @@
 
 	private static final double LARGE_BODY_SHARE = 0.75;
 
-	// A body without an announced length occupies up to twice its size, and more while
-	// its
-	// buffer grows. Sending it to a server takes its size again in direct memory.
+	// A body without an announced length occupies up to twice its size. Sending a body to
+	// a server takes its size again in direct memory.
 	private static final int HEAP_DIVISOR = 3;
 
 	private final long maxTotalBytes;
