--- a/gateway/src/test/java/org/skylarkstack/edge/EdgeServerTests.java
+++ b/gateway/src/test/java/org/skylarkstack/edge/EdgeServerTests.java
@@ -175,7 +175,7 @@
 			assertThat(readSome(kept, "/second")).contains("/first");
 			assertThat(reservedBytes()).isEqualTo(0);
 		}
-		try (Socket held = connect(post("/hold", false, 100_000) + post("/behind", false, 100_000));
+		try (Socket unanswered = connect(post("/hold", false, 100_000) + post("/behind", false, 100_000));
 				Socket unfinished = connect("POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 400000\r\n\r\nx")) {
 			await(600_000);
 		}
