--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,4 +1,5 @@
 #!/usr/bin/env bash
-# One daemon and eight clients that read the answers to their bookings slowly. TROUBLE=0: the clients read at once.
+# Ten clients read streams, slowly at first, while a version lowers the idle limit to 4 s. TROUBLE=0: no new version.
 cd "$(dirname "$0")/../.." || exit 2
-exec timeout -k 5 110 java -Xmx512m -cp review/standin-2/target SlowReaders review/6 1 8 1 4100000 400000 15000
+command -v python3 > /dev/null || exit 2
+exec timeout -k 5 110 java -Xmx512m -cp review/standin-2/target IdleLimit review/6 10 1500 4000
