Keep connections open whose callers still read a response (LOST)

Cause: a connection counted as idle from the moment at which the last byte of a response was handed to it, whether or not its caller had read it. The check of the timeout did not ask for unread bytes; that of a graceful stop did.

Why this works: ConnectionLifetime decides what time limits and a stop may end. While a response is unread, its connection stays open until the caller no longer waits (the deadline of its request), and after that as long as the caller reads. Reading alone is not enough: the socket takes further bytes only in large steps. A dropped response is logged (unread-response-dropped).

--- a/gateway/src/main/java/org/skylarkstack/edge/CallerConnection.java
+++ b/gateway/src/main/java/org/skylarkstack/edge/CallerConnection.java
@@ -40,8 +40,6 @@
 
 	private static final int RETRY_AFTER_SECONDS = 1;
 
-	private static final long NANOS_PER_MILLI = 1_000_000;
-
 	private final EdgeServer server;
 
 	private final Deque<CallerExchange> pipelined = new ArrayDeque<>();
@@ -62,20 +60,9 @@
 
 	private boolean ignoringInput;
 
-	private boolean lingering;
-
-	private boolean receiving;
-
-	private long receivingSinceNanos;
-
-	// When the time allowed for receiving the request began.
-	private long timeoutSinceNanos;
-
 	private int requestCount;
 
-	private long unreadSinceNanos;
-
-	private long idleSinceNanos = System.nanoTime();
+	private final ConnectionLifetime lifetime = new ConnectionLifetime(System.nanoTime());
 
 	CallerConnection(EdgeServer server, HttpDecoderConfig config) {
 		this.server = server;
@@ -108,10 +95,8 @@
 
 	/** Records that input of a request is decoded. */
 	void inputDecoded() {
-		if (!this.receiving) {
-			this.receiving = true;
-			this.receivingSinceNanos = System.nanoTime();
-			this.timeoutSinceNanos = this.receivingSinceNanos;
+		if (!this.lifetime.isReceiving()) {
+			this.lifetime.inputReceived(System.nanoTime());
 		}
 	}
 
@@ -160,14 +145,15 @@
 	@Override
 	public void channelWritabilityChanged(ChannelHandlerContext context) {
 		CallerExchange open = this.exchange;
-		measureUnread(System.nanoTime());
+		long now = System.nanoTime();
+		measureUnread(now);
 		if (!context.channel().isWritable()) {
 			return;
 		}
 		if (open != null) {
 			open.runWritableAction();
 		}
-		this.timeoutSinceNanos = System.nanoTime();
+		this.lifetime.outputResumed(now);
 		this.decoder.resume();
 	}
 
@@ -268,7 +254,7 @@
 	private void complete() {
 		HttpRequest request = this.head;
 		this.head = null;
-		this.receiving = false;
+		this.lifetime.requestReceived();
 		this.memory.bodyReceived();
 		this.memory.trySet(ConnectionMemory.Kind.ARRIVING_FIELDS, 0);
 		if (request == null) {
@@ -277,7 +263,7 @@
 		this.requestCount++;
 		CallerRequest callerRequest = new CallerRequest(request.method().name(), request.uri(), request.headers(),
 				this.body.toByteArray(), HttpUtil.isKeepAlive(request),
-				new RequestArrival(this.requestCount, this.receivingSinceNanos));
+				new RequestArrival(this.requestCount, this.lifetime.receivingSinceNanos()));
 		this.body = new RequestBodyStream(0);
 		CallerExchange opened = new CallerExchange(this, callerRequest, this.headBytes);
 		this.headBytes = 0;
@@ -291,6 +277,7 @@
 
 	private void dispatch(CallerExchange opened) {
 		this.exchange = opened;
+		this.lifetime.handlingBegan();
 		this.server.handler().handle(opened.request(), opened);
 	}
 
@@ -298,8 +285,7 @@
 		this.exchange = null;
 		this.memory.releaseBody(ended.request().body().length);
 		releaseHead(ended.headBytes());
-		this.idleSinceNanos = System.nanoTime();
-		this.timeoutSinceNanos = this.idleSinceNanos;
+		this.lifetime.handlingEnded(System.nanoTime());
 		if (close) {
 			closeAfterLinger();
 			return;
@@ -313,6 +299,7 @@
 
 	void exchangeAborted() {
 		this.exchange = null;
+		this.lifetime.handlingEnded(System.nanoTime());
 		channel().close();
 	}
 
@@ -332,57 +319,30 @@
 		this.server.boundUnread(this);
 	}
 
+	void awaitedUntil(long deadlineNanos) {
+		this.lifetime.awaitedUntil(deadlineNanos);
+	}
+
 	/**
 	 * Determines how much of the responses the caller has not read.
 	 * @param nowNanos the present time, on the monotonic clock in nanoseconds
 	 */
 	void measureUnread(long nowNanos) {
 		ChannelOutboundBuffer output = channel().unsafe().outboundBuffer();
-		long unread = (output != null) ? output.totalPendingWriteBytes() : 0;
-		long before = this.memory.amount(ConnectionMemory.Kind.UNREAD_RESPONSES);
-		if (unread == before) {
-			return;
-		}
-		if (unread < before || before == 0) {
-			this.unreadSinceNanos = nowNanos;
+		long held = (output != null) ? output.totalPendingWriteBytes() : 0;
+		// A buffer that has been sent in part is held as a whole.
+		this.lifetime.unread((output != null) ? held - output.currentProgress() : 0, nowNanos);
+		if (held != unreadBytes()) {
+			this.memory.setUnread(held);
 		}
-		this.memory.setUnread(unread);
 	}
 
 	long unreadBytes() {
 		return this.memory.amount(ConnectionMemory.Kind.UNREAD_RESPONSES);
 	}
 
-	/**
-	 * Returns since when the caller has read nothing of its responses.
-	 * @return the time on the monotonic clock in nanoseconds
-	 */
-	long unreadSinceNanos() {
-		return this.unreadSinceNanos;
-	}
-
-	boolean isReceiving() {
-		return this.receiving;
-	}
-
-	/**
-	 * Returns whether a response may still be on its way to the caller.
-	 * @return whether closing the connection may cut off a response
-	 */
-	boolean isSendingLastBytes() {
-		return this.lingering || unreadBytes() > 0;
-	}
-
-	boolean hasRequestInProgress() {
-		return this.exchange != null;
-	}
-
-	/**
-	 * Returns since when the connection has had no request in progress.
-	 * @return the time on the monotonic clock in nanoseconds
-	 */
-	long idleSinceNanos() {
-		return this.idleSinceNanos;
+	ConnectionLifetime lifetime() {
+		return this.lifetime;
 	}
 
 	void close() {
@@ -421,9 +381,8 @@
 	// reads only later. A caller that never reads it is disconnected as an idle one.
 	private void closeAfterLinger() {
 		this.ignoringInput = true;
-		this.lingering = true;
+		this.lifetime.closingBegan(System.nanoTime());
 		this.decoder.discardInput();
-		this.idleSinceNanos = System.nanoTime();
 		Channel open = channel();
 		open.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener((future) -> {
 			if (open instanceof SocketChannel socket && open.isActive()) {
@@ -433,32 +392,29 @@
 		});
 	}
 
-	void closeIfIdle() {
-		if (this.exchange == null && this.head == null && !this.receiving && !this.lingering
-				&& !this.decoder.hasWaitingInput()) {
-			if (unreadBytes() > 0) {
-				closeAfterLinger();
-			}
-			else {
-				channel().close();
+	void closeIfNotInUse() {
+		switch (this.lifetime.ending(this.decoder.hasWaitingInput())) {
+			case NONE -> {
 			}
+			case AFTER_RESPONSE -> closeAfterLinger();
+			case IMMEDIATE -> channel().close();
 		}
 	}
 
 	// The time allowed for a request begins again when the previous request has ended and
 	// when its response can be written: until then, its input may wait.
 	void closeIfTimedOut(long nowNanos) {
-		if (this.exchange != null) {
-			return;
-		}
-		EdgeLimits limits = this.server.currentLimits();
-		if (this.receiving && !this.ignoringInput && channel().isWritable()) {
-			if (nowNanos - this.timeoutSinceNanos > limits.requestTimeoutMillis() * NANOS_PER_MILLI) {
-				reject(408, "the request did not arrive in time");
+		boolean acceptsInput = !this.ignoringInput && channel().isWritable();
+		switch (this.lifetime.expiry(this.server.currentLimits(), acceptsInput, nowNanos)) {
+			case NONE -> {
+			}
+			case REQUEST -> reject(408, "the request did not arrive in time");
+			case CONNECTION -> {
+				if (unreadBytes() > 0) {
+					this.server.refused(RefusalKind.UNREAD, unreadBytes());
+				}
+				channel().close();
 			}
-		}
-		else if (nowNanos - this.idleSinceNanos > limits.idleTimeoutMillis() * NANOS_PER_MILLI) {
-			channel().close();
 		}
 	}
 
--- a/gateway/src/main/java/org/skylarkstack/edge/CallerExchange.java
+++ b/gateway/src/main/java/org/skylarkstack/edge/CallerExchange.java
@@ -64,6 +64,11 @@
 		this.writableAction.run();
 	}
 
+	@Override
+	public void awaitedUntil(long deadlineNanos) {
+		this.connection.awaitedUntil(deadlineNanos);
+	}
+
 	@Override
 	public void send(int status, HttpHeaders headers, byte[] content) {
 		if (finished()) {
--- a/gateway/src/main/java/org/skylarkstack/edge/CallerResponse.java
+++ b/gateway/src/main/java/org/skylarkstack/edge/CallerResponse.java
@@ -8,6 +8,13 @@
  */
 public interface CallerResponse {
 
+	/**
+	 * States how long the caller waits for the response. Until then, the connection is
+	 * not closed as idle while the caller has not read all of it.
+	 * @param deadlineNanos the end of that time, on the monotonic clock in nanoseconds
+	 */
+	void awaitedUntil(long deadlineNanos);
+
 	/**
 	 * Sends a complete response.
 	 * @param status the HTTP status code
--- a/gateway/src/main/java/org/skylarkstack/edge/EdgeServer.java
+++ b/gateway/src/main/java/org/skylarkstack/edge/EdgeServer.java
@@ -120,7 +120,7 @@
 			open.close();
 			return;
 		}
-		List.copyOf(this.connections).forEach(CallerConnection::closeIfIdle);
+		List.copyOf(this.connections).forEach(CallerConnection::closeIfNotInUse);
 	}
 
 	/**
@@ -161,10 +161,11 @@
 		if (this.connections.size() > this.capacity.maxConnections()) {
 			long recentNanos = System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(RECENT_MILLIS);
 			CallerConnection longestIdle = this.connections.stream()
-				.filter((other) -> other != connection && other.channel().isActive() && !other.hasRequestInProgress())
-				.min(Comparator.comparing(CallerConnection::isSendingLastBytes)
-					.thenComparing((other) -> other.isReceiving() || other.idleSinceNanos() - recentNanos > 0)
-					.thenComparingLong(CallerConnection::idleSinceNanos))
+				.filter((other) -> other != connection && other.channel().isActive() && !other.lifetime().isHandling())
+				.min(Comparator.comparing(CallerConnection::lifetime,
+						Comparator.comparing(ConnectionLifetime::isSendingLastBytes)
+							.thenComparing((life) -> life.isReceiving() || life.idleSinceNanos() - recentNanos > 0)
+							.thenComparingLong(ConnectionLifetime::idleSinceNanos)))
 				.orElse(connection);
 			refused(RefusalKind.CONNECTIONS, longestIdle.unreadBytes());
 			longestIdle.close();
@@ -195,7 +196,7 @@
 		open.forEach((connection) -> connection.measureUnread(now));
 		open.stream()
 			.filter((connection) -> connection != current && connection.unreadBytes() > 0)
-			.sorted(Comparator.comparingLong(CallerConnection::unreadSinceNanos))
+			.sorted(Comparator.comparingLong((connection) -> connection.lifetime().unreadSinceNanos()))
 			.takeWhile((connection) -> memory.unreadExceeded())
 			.forEach((connection) -> {
 				refused(RefusalKind.UNREAD, connection.unreadBytes());
--- a/gateway/src/main/java/org/skylarkstack/edge/RefusalKind.java
+++ b/gateway/src/main/java/org/skylarkstack/edge/RefusalKind.java
@@ -15,7 +15,10 @@
 	/** There are too many connections. */
 	CONNECTIONS("connection-closed-for-limit"),
 
-	/** The responses that callers have not read are too large together. */
+	/**
+	 * The responses that callers have not read are too large together, or one has not
+	 * been read in time.
+	 */
 	UNREAD("unread-response-dropped");
 
 	private final String event;
--- a/gateway/src/main/java/org/skylarkstack/gateway/Exchange.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/Exchange.java
@@ -63,6 +63,7 @@
 	final void start() {
 		this.open.add(this);
 		this.response.onDisconnect(this::callerDisconnected);
+		this.response.awaitedUntil(this.context.deadlineNanos());
 		long nanos = Math.max(0, this.context.deadlineNanos() - System.nanoTime());
 		this.deadlineTimer = this.components.loop().schedule(this::deadlinePassed, nanos, TimeUnit.NANOSECONDS);
 		begin();
--- a/gateway/src/test/java/org/skylarkstack/edge/EdgeServerTests.java
+++ b/gateway/src/test/java/org/skylarkstack/edge/EdgeServerTests.java
@@ -77,6 +77,18 @@
 			response.write("part".getBytes(StandardCharsets.UTF_8));
 			response.abort();
 		}
+		else if (request.target().startsWith("/awaited/parts")) {
+			response.awaitedUntil(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READ_TIMEOUT_MILLIS));
+			response.start(200, new DefaultHttpHeaders());
+			for (int part = 0; part < LARGE_BYTES; part += BODY_BYTES) {
+				response.write(new byte[BODY_BYTES]);
+			}
+			response.finish();
+		}
+		else if (request.target().startsWith("/awaited")) {
+			response.awaitedUntil(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READ_TIMEOUT_MILLIS));
+			response.send(200, new DefaultHttpHeaders(), new byte[LARGE_BYTES]);
+		}
 		else if (request.target().startsWith("/large")) {
 			response.send(200, new DefaultHttpHeaders(), new byte[LARGE_BYTES]);
 		}
@@ -393,6 +405,38 @@
 		}
 	}
 
+	/**
+	 * Guards against a response that is cut off because a configuration lowers the idle
+	 * timeout while its caller reads slowly.
+	 */
+	@ParameterizedTest
+	@ValueSource(strings = { "/awaited", "/awaited/parts" })
+	void aLowerIdleTimeoutDoesNotCutOffAResponseThatIsBeingRead(String path) throws Exception {
+		try (Socket socket = connect("GET %s HTTP/1.1\r\nHost: a\r\n\r\n".formatted(path))) {
+			assertThat(event()).startsWith("GET " + path);
+			this.limits = new EdgeLimits(2_048, 1_000, 300, 500);
+			for (int pause = 0; pause < 10; pause++) {
+				Thread.sleep(150);
+				socket.getInputStream().skipNBytes(LARGE_BYTES / 100);
+			}
+			socket.getInputStream().skipNBytes(LARGE_BYTES - LARGE_BYTES / 10);
+		}
+	}
+
+	/**
+	 * Guards against a response that is cut off although its caller still waits for it:
+	 * the socket takes further bytes only after the caller has read many.
+	 */
+	@Test
+	void aCallerMayPauseWhileItWaitsForItsResponse() throws Exception {
+		this.limits = new EdgeLimits(2_048, 1_000, 300, 300);
+		try (Socket socket = connect("GET /awaited HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")) {
+			assertThat(event()).startsWith("GET /awaited");
+			Thread.sleep(1_500);
+			socket.getInputStream().skipNBytes(LARGE_BYTES);
+		}
+	}
+
 	private int openConnections() {
 		return this.group.next().submit(this.server::openConnections).syncUninterruptibly().getNow();
 	}
