--- a/gateway/src/main/java/org/skylarkstack/edge/CallerConnection.java
+++ b/gateway/src/main/java/org/skylarkstack/edge/CallerConnection.java
@@ -15,7 +15,6 @@
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpRequest;
@@ -23,7 +22,6 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.util.ReferenceCountUtil;
 import org.jspecify.annotations.Nullable;
 
@@ -64,10 +62,10 @@
 
 	private final ConnectionLifetime lifetime = new ConnectionLifetime(System.nanoTime());
 
-	CallerConnection(EdgeServer server, HttpDecoderConfig config) {
+	CallerConnection(EdgeServer server) {
 		this.server = server;
 		this.memory = new ConnectionMemory(server.capacity().bodies(), server.capacity().memory());
-		this.decoder = new CallerRequestDecoder(config, this, server.inputTurns());
+		this.decoder = new CallerRequestDecoder(this, server.inputTurns());
 	}
 
 	CallerRequestDecoder decoder() {
@@ -100,6 +98,16 @@
 		}
 	}
 
+	/**
+	 * Refuses the request if its fields are too large.
+	 * @param length the length of the fields received so far, in bytes
+	 */
+	void fieldsReceived(long length) {
+		if (length > this.server.currentLimits().maxHeaderBytes()) {
+			reject(431, "the request headers are too large");
+		}
+	}
+
 	void fieldsArriving(long bytes) {
 		reserve(ConnectionMemory.Kind.ARRIVING_FIELDS, bytes);
 	}
@@ -184,8 +192,7 @@
 
 	private void begin(HttpRequest request) {
 		if (request.decoderResult().isFailure()) {
-			int status = (request.decoderResult().cause() instanceof TooLongHttpHeaderException) ? 431 : 400;
-			reject(status, "the request head is malformed or too long");
+			reject(400, "the request head is malformed or its first line is too long");
 			return;
 		}
 		if (request.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)
--- a/gateway/src/main/java/org/skylarkstack/edge/CallerRequestDecoder.java
+++ b/gateway/src/main/java/org/skylarkstack/edge/CallerRequestDecoder.java
@@ -6,9 +6,11 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelConfig;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.HttpConstants;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import org.jspecify.annotations.Nullable;
 
@@ -17,9 +19,15 @@
  * a bounded number of messages at a time. The rest of the input waits; beyond a bound the
  * socket is not read. While little waits, the socket is read, so that the end of the
  * connection is detected while a request is handled.
+ *
+ * <p>
+ * The size of the fields is bounded here rather than by the super class, whose limit is
+ * fixed when the connection is accepted.
  */
 final class CallerRequestDecoder extends HttpRequestDecoder {
 
+	private static final int MAX_LINE_BYTES = 8_192;
+
 	// A field takes an entry of the headers, its name and its value, and as much again in
 	// the request to the server.
 	private static final long FIELD_BYTES = 256;
@@ -49,17 +57,24 @@
 
 	private int allowance = MESSAGES_PER_READ;
 
+	private @Nullable ByteBuf decodingInput;
+
+	private int fieldsIndex;
+
 	// Bytes of the head or the trailing fields that are being received.
 	private long fieldBytes;
 
+	// The same without the request line and the ends of the lines.
+	private long fieldLength;
+
 	private long headCost;
 
 	private boolean decoding;
 
 	private boolean awaitsTurn;
 
-	CallerRequestDecoder(HttpDecoderConfig config, CallerConnection connection, InputTurns turns) {
-		super(config);
+	CallerRequestDecoder(CallerConnection connection, InputTurns turns) {
+		super(new HttpDecoderConfig().setMaxInitialLineLength(MAX_LINE_BYTES).setMaxHeaderSize(Integer.MAX_VALUE));
 		this.connection = connection;
 		this.turns = turns;
 	}
@@ -188,26 +203,61 @@
 			return;
 		}
 		this.connection.inputDecoded();
-		int before = input.readableBytes();
+		int before = input.readerIndex();
+		this.decodingInput = input;
+		this.fieldsIndex = before;
 		super.decode(current, input, messages);
-		this.fieldBytes += before - input.readableBytes();
+		this.fieldBytes += input.readerIndex() - before;
 		HttpMessage head = this.arriving;
+		boolean complete = !messages.isEmpty();
+		if (!complete || head != null || hasTrailingFields(messages)) {
+			measureFields(input, complete);
+			if (this.connection.ignoresInput()) {
+				return;
+			}
+		}
 		long fields = (head != null) ? head.headers().size() : this.fieldBytes / MIN_FIELD_LENGTH;
 		long cost = fields * FIELD_BYTES + this.fieldBytes * COPIES;
-		if (messages.isEmpty()) {
+		if (!complete) {
 			this.connection.fieldsArriving(cost);
 			return;
 		}
 		this.headCost = HEAD_BYTES + cost;
 		this.fieldBytes = 0;
+		this.fieldLength = 0;
 		this.arriving = null;
 		this.allowance -= 1 + ((head != null) ? head.headers().size() / FIELDS_PER_MESSAGE : 0);
 	}
 
+	private static boolean hasTrailingFields(List<Object> messages) {
+		return messages.get(messages.size() - 1) instanceof LastHttpContent last && !last.trailingHeaders().isEmpty();
+	}
+
+	private void measureFields(ByteBuf input, boolean complete) {
+		for (int index = this.fieldsIndex; index < input.readerIndex(); index++) {
+			byte next = input.getByte(index);
+			if (next != HttpConstants.CR && next != HttpConstants.LF) {
+				this.fieldLength++;
+			}
+		}
+		long length = this.fieldLength;
+		if (!complete && input.indexOf(input.readerIndex(), input.writerIndex(), HttpConstants.LF) < 0) {
+			// The last byte of an incomplete line may belong to its end.
+			length += Math.max(0, input.readableBytes() - 1);
+		}
+		if (this.arriving == null) {
+			// A request line, or the line of a chunk that precedes trailing fields.
+			length -= MAX_LINE_BYTES;
+		}
+		this.connection.fieldsReceived(length);
+	}
+
 	@Override
 	protected HttpMessage createMessage(String[] initialLine) throws Exception {
 		HttpMessage message = super.createMessage(initialLine);
 		this.arriving = message;
+		ByteBuf input = this.decodingInput;
+		this.fieldsIndex = (input != null) ? input.readerIndex() : 0;
 		return message;
 	}
 
--- a/gateway/src/main/java/org/skylarkstack/edge/EdgeServer.java
+++ b/gateway/src/main/java/org/skylarkstack/edge/EdgeServer.java
@@ -16,7 +16,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.handler.codec.http.HttpDecoderConfig;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -26,8 +25,6 @@
  */
 public final class EdgeServer {
 
-	private static final int MAX_REQUEST_LINE_BYTES = 8_192;
-
 	private static final long SWEEP_MILLIS = 250;
 
 	// Longer than a round trip to most callers.
@@ -221,9 +218,7 @@
 
 		@Override
 		protected void initChannel(SocketChannel channel) {
-			HttpDecoderConfig config = new HttpDecoderConfig().setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
-				.setMaxHeaderSize(currentLimits().maxHeaderBytes());
-			CallerConnection connection = new CallerConnection(EdgeServer.this, config);
+			CallerConnection connection = new CallerConnection(EdgeServer.this);
 			channel.pipeline().addLast(connection.decoder(), new CallerResponseEncoder(connection), connection);
 		}
 
--- a/gateway/src/test/java/org/skylarkstack/edge/EdgeCapacityTests.java
+++ b/gateway/src/test/java/org/skylarkstack/edge/EdgeCapacityTests.java
@@ -17,7 +17,6 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.HttpDecoderConfig;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -198,7 +197,7 @@
 	}
 
 	private CallerRequestDecoder decoder(Runnable onTurn) {
-		CallerRequestDecoder decoder = new CallerConnection(this.server, new HttpDecoderConfig()).decoder();
+		CallerRequestDecoder decoder = new CallerConnection(this.server).decoder();
 		decoder.handlerAdded((ChannelHandlerContext) Proxy.newProxyInstance(getClass().getClassLoader(),
 				new Class<?>[] { ChannelHandlerContext.class }, (proxy, method, arguments) -> {
 					onTurn.run();
--- a/gateway/src/test/java/org/skylarkstack/edge/EdgeServerTests.java
+++ b/gateway/src/test/java/org/skylarkstack/edge/EdgeServerTests.java
@@ -257,6 +257,58 @@
 		}
 	}
 
+	private static String get(String path, int fieldBytes) {
+		return "GET %s HTTP/1.1\r\nHost: x\r\nA: %s\r\n\r\n".formatted(path,
+				"n".repeat(fieldBytes - "Host: xA: ".length()));
+	}
+
+	/**
+	 * Guards against a connection that keeps the header limit of the configuration in
+	 * force when it was accepted.
+	 */
+	@Test
+	void aKeptConnectionFollowsTheHeaderLimit() throws Exception {
+		try (Socket socket = connect(get("/first", 2_048))) {
+			assertThat(readSome(socket, "/first")).startsWith("HTTP/1.1 200 ");
+			this.limits = new EdgeLimits(40_000, 1_000, 300, 10_000);
+			socket.getOutputStream().write(get("/raised", 40_000).getBytes(StandardCharsets.UTF_8));
+			assertThat(readSome(socket, "/raised")).startsWith("HTTP/1.1 200 ");
+			this.limits = new EdgeLimits(1_000, 1_000, 300, 10_000);
+			socket.getOutputStream().write(get("/lowered", 1_001).getBytes(StandardCharsets.UTF_8));
+			assertThat(readAll(socket)).startsWith("HTTP/1.1 431 ");
+		}
+	}
+
+	/**
+	 * Guards against fields that escape the limit: in many short lines, in one line
+	 * without an end, or behind a chunked body.
+	 */
+	@ParameterizedTest
+	@ValueSource(strings = { "GET /a HTTP/1.1\r\n%s\r\n", "GET /a HTTP/1.1\r\nLong: x%s",
+			"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n%s\r\n" })
+	void fieldsAboveTheLimitAreRefused(String request) throws Exception {
+		String fields = request.endsWith("x%s") ? "x".repeat(11_000) : "A: b\r\n".repeat(2_750);
+		try (Socket socket = connect(request.formatted(fields))) {
+			assertThat(readAll(socket)).startsWith("HTTP/1.1 431 ");
+			assertThat(this.events).isEmpty();
+		}
+	}
+
+	/**
+	 * Guards against counting anything else as header fields: the chunks of a body that
+	 * arrive together, and a request line.
+	 */
+	@Test
+	void bodiesAndRequestLinesDoNotCountAsFields() throws Exception {
+		this.limits = new EdgeLimits(100, 100_000, 5_000, 10_000);
+		String chunks = "3e8\r\n%s\r\n".formatted("x".repeat(1_000)).repeat(20);
+		try (Socket socket = connect("POST /%s HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n%s0\r\nA: b\r\n\r\n"
+			.formatted("p".repeat(8_000), chunks))) {
+			assertThat(readSome(socket, "\r\n\r\n")).startsWith("HTTP/1.1 200 ");
+			assertThat(event()).endsWith(" 20000");
+		}
+	}
+
 	/**
 	 * Guards against a caller that holds a connection open by sending only the beginning
 	 * of a request.
