Hold requests and idle times to the limits that they began with

What callers would see: a version that lowers a limit refuses requests that are being sent under the former limit (431, 413 with a length and in chunks, 408), and closes idle connections at once whose callers kept to the former timeout.

Cause: nothing stated which limits hold for what has begun. The limits were asked for at each use, which is too late when one is lowered.

Why this works: ConnectionLifetime holds the highest limits since the present request or idle time began. A higher limit applies immediately, a lower one to what begins after it; input that waited behind a request counts from its arrival.

Evidence: before, EdgeServerTests.aRequestKeepsTheSizesThatItBeganWith (3 cases), aRequestKeepsTheTimeThatItBeganWith and anIdleConnectionKeepsTheTimeoutThatIt- BeganWith (2 cases) failed on; now they pass.

--- a/gateway/src/main/java/org/skylarkstack/edge/CallerConnection.java
+++ b/gateway/src/main/java/org/skylarkstack/edge/CallerConnection.java
@@ -60,10 +60,11 @@
 
 	private int requestCount;
 
-	private final ConnectionLifetime lifetime = new ConnectionLifetime(System.nanoTime());
+	private final ConnectionLifetime lifetime;
 
 	CallerConnection(EdgeServer server) {
 		this.server = server;
+		this.lifetime = new ConnectionLifetime(server::currentLimits, System.nanoTime());
 		this.memory = new ConnectionMemory(server.capacity().bodies(), server.capacity().memory());
 		this.decoder = new CallerRequestDecoder(this, server.inputTurns());
 	}
@@ -94,7 +95,7 @@
 	/** Records that input of a request is decoded. */
 	void inputDecoded() {
 		if (!this.lifetime.isReceiving()) {
-			this.lifetime.inputReceived(System.nanoTime());
+			this.lifetime.inputDecoded(System.nanoTime());
 		}
 	}
 
@@ -103,7 +104,7 @@
 	 * @param length the length of the fields received so far, in bytes
 	 */
 	void fieldsReceived(long length) {
-		if (length > this.server.currentLimits().maxHeaderBytes()) {
+		if (length > this.lifetime.limits().maxHeaderBytes()) {
 			reject(431, "the request headers are too large");
 		}
 	}
@@ -113,6 +114,7 @@
 	}
 
 	void inputWaits(long bytes) {
+		this.lifetime.inputWaits(bytes > 0);
 		if (bytes != this.memory.amount(ConnectionMemory.Kind.WAITING_INPUT)) {
 			reserve(ConnectionMemory.Kind.WAITING_INPUT, bytes);
 		}
@@ -201,7 +203,7 @@
 			return;
 		}
 		long announcedBytes = HttpUtil.getContentLength(request, 0L);
-		if (announcedBytes > this.server.currentLimits().maxBodyBytes()) {
+		if (announcedBytes > this.lifetime.limits().maxBodyBytes()) {
 			reject(413, "the request body is too large");
 			return;
 		}
@@ -221,7 +223,7 @@
 			return;
 		}
 		ByteBuf bytes = content.content();
-		if (this.body.size() + bytes.readableBytes() > this.server.currentLimits().maxBodyBytes()) {
+		if (this.body.size() + bytes.readableBytes() > this.lifetime.limits().maxBodyBytes()) {
 			reject(413, "the request body is too large");
 			return;
 		}
@@ -412,7 +414,7 @@
 	// when its response can be written: until then, its input may wait.
 	void closeIfTimedOut(long nowNanos) {
 		boolean acceptsInput = !this.ignoringInput && channel().isWritable();
-		switch (this.lifetime.expiry(this.server.currentLimits(), acceptsInput, nowNanos)) {
+		switch (this.lifetime.expiry(acceptsInput, nowNanos)) {
 			case NONE -> {
 			}
 			case REQUEST -> reject(408, "the request did not arrive in time");
--- a/gateway/src/main/java/org/skylarkstack/edge/ConnectionLifetime.java
+++ b/gateway/src/main/java/org/skylarkstack/edge/ConnectionLifetime.java
@@ -1,20 +1,33 @@
 package org.skylarkstack.edge;
 
+import java.util.function.Supplier;
+
 /**
- * Decides how long the connection of a caller may stay open.
+ * Decides how long the connection of a caller may stay open, and which limits hold on it.
  *
  * <p>
  * A connection is idle only if no request is received or handled on it and its caller has
  * no response left to read. While a response is unread, the connection stays open as long
  * as its caller waits for the response, and after that as long as the caller reads. The
  * caller's reading is observed only when the socket takes further bytes, which it does in
- * large steps, so pauses before the caller's deadline do not count. Confined to one
- * thread.
+ * large steps, so pauses before the caller's deadline do not count.
+ *
+ * <p>
+ * A configuration may change the limits at any time. A higher limit applies immediately.
+ * A lower one applies to the requests and the idle times that begin after it, so that
+ * callers who kept to the limits are not cut off. Confined to one thread.
  */
 final class ConnectionLifetime {
 
 	private static final long NANOS_PER_MILLI = 1_000_000;
 
+	private final Supplier<EdgeLimits> inForce;
+
+	// The highest limits since the present request or idle time began.
+	private EdgeLimits limits;
+
+	private boolean inputWaits;
+
 	private boolean receiving;
 
 	private long receivingSinceNanos;
@@ -36,21 +49,54 @@
 
 	/**
 	 * Creates the state of a connection that has just been accepted.
+	 * @param inForce supplies the limits in force
 	 * @param nowNanos the present time, on the monotonic clock in nanoseconds like all
 	 * times of this class
 	 */
-	ConnectionLifetime(long nowNanos) {
+	ConnectionLifetime(Supplier<EdgeLimits> inForce, long nowNanos) {
+		this.inForce = inForce;
+		this.limits = inForce.get();
 		this.unreadSinceNanos = nowNanos;
 		this.awaitedUntilNanos = nowNanos;
 		this.idleSinceNanos = nowNanos;
 	}
 
 	/**
-	 * Records that a part of a request has been received.
+	 * Returns the limits that hold for the request that is being received.
+	 * @return the limits
+	 */
+	EdgeLimits limits() {
+		EdgeLimits current = this.inForce.get();
+		if (!current.equals(this.limits)) {
+			this.limits = this.limits.max(current);
+		}
+		return this.limits;
+	}
+
+	private void resetLimits() {
+		this.limits = this.inForce.get();
+	}
+
+	/**
+	 * Records whether input has been received that is not decoded yet.
+	 * @param waits whether there is any
+	 */
+	void inputWaits(boolean waits) {
+		if (waits && !this.inputWaits && !this.receiving) {
+			resetLimits();
+		}
+		this.inputWaits = waits;
+	}
+
+	/**
+	 * Records that a part of a request is decoded.
 	 * @param nowNanos the present time
 	 */
-	void inputReceived(long nowNanos) {
+	void inputDecoded(long nowNanos) {
 		if (!this.receiving) {
+			if (!this.inputWaits) {
+				resetLimits();
+			}
 			this.receiving = true;
 			this.receivingSinceNanos = nowNanos;
 			this.timeoutSinceNanos = nowNanos;
@@ -83,6 +129,9 @@
 	 */
 	void handlingEnded(long nowNanos) {
 		this.handling = false;
+		if (!this.receiving && !this.inputWaits) {
+			resetLimits();
+		}
 		this.idleSinceNanos = nowNanos;
 		this.timeoutSinceNanos = nowNanos;
 	}
@@ -161,23 +210,23 @@
 
 	/**
 	 * Returns what a time limit requires.
-	 * @param limits the limits in force
 	 * @param acceptsInput whether the input of the caller is decoded at present
 	 * @param nowNanos the present time
 	 * @return the consequence
 	 */
-	Expiry expiry(EdgeLimits limits, boolean acceptsInput, long nowNanos) {
+	Expiry expiry(boolean acceptsInput, long nowNanos) {
+		EdgeLimits current = limits();
 		if (this.handling) {
 			return Expiry.NONE;
 		}
 		if (this.receiving && acceptsInput) {
-			return exceeds(this.timeoutSinceNanos, limits.requestTimeoutMillis(), nowNanos) ? Expiry.REQUEST
+			return exceeds(this.timeoutSinceNanos, current.requestTimeoutMillis(), nowNanos) ? Expiry.REQUEST
 					: Expiry.NONE;
 		}
 		if (this.unreadBytes > 0 && nowNanos - this.awaitedUntilNanos < 0) {
 			return Expiry.NONE;
 		}
-		return exceeds(this.idleSinceNanos, limits.idleTimeoutMillis(), nowNanos) ? Expiry.CONNECTION : Expiry.NONE;
+		return exceeds(this.idleSinceNanos, current.idleTimeoutMillis(), nowNanos) ? Expiry.CONNECTION : Expiry.NONE;
 	}
 
 	private static boolean exceeds(long sinceNanos, long limitMillis, long nowNanos) {
@@ -186,11 +235,11 @@
 
 	/**
 	 * Returns how the connection ends if the listener closes those that are not in use.
-	 * @param inputWaits whether input has been received that is not decoded yet
+	 * @param undecoded whether input has been received that is not decoded yet
 	 * @return the way
 	 */
-	Ending ending(boolean inputWaits) {
-		if (this.handling || this.receiving || this.closing || inputWaits) {
+	Ending ending(boolean undecoded) {
+		if (this.handling || this.receiving || this.closing || undecoded) {
 			return Ending.NONE;
 		}
 		return (this.unreadBytes > 0) ? Ending.AFTER_RESPONSE : Ending.IMMEDIATE;
--- a/gateway/src/main/java/org/skylarkstack/edge/EdgeLimits.java
+++ b/gateway/src/main/java/org/skylarkstack/edge/EdgeLimits.java
@@ -15,4 +15,16 @@
 	/** Limits that apply until a configuration is known. */
 	public static final EdgeLimits DEFAULT = new EdgeLimits(16 * 1024, 4 * 1024 * 1024, 5_000, 30_000);
 
+	/**
+	 * Returns limits that allow what these or others allow.
+	 * @param other the other limits
+	 * @return the higher value of each limit
+	 */
+	public EdgeLimits max(EdgeLimits other) {
+		return new EdgeLimits(Math.max(this.maxHeaderBytes, other.maxHeaderBytes),
+				Math.max(this.maxBodyBytes, other.maxBodyBytes),
+				Math.max(this.requestTimeoutMillis, other.requestTimeoutMillis),
+				Math.max(this.idleTimeoutMillis, other.idleTimeoutMillis));
+	}
+
 }
--- a/gateway/src/test/java/org/skylarkstack/edge/EdgeServerTests.java
+++ b/gateway/src/test/java/org/skylarkstack/edge/EdgeServerTests.java
@@ -279,6 +279,56 @@
 		}
 	}
 
+	/**
+	 * Guards against refusing a request because a configuration lowers a limit while it
+	 * arrives.
+	 */
+	@ParameterizedTest
+	@ValueSource(strings = { "GET /a HTTP/1.1\r\nHost: x\r\nA: %s|%s\r\n\r\n",
+			"POST /a HTTP/1.1\r\nContent-Length: 1600\r\n\r\n%s|%s",
+			"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n320\r\n%s\r\n|320\r\n%s\r\n0\r\n\r\n" })
+	void aRequestKeepsTheSizesThatItBeganWith(String request) throws Exception {
+		lowerBetweenHalves(request, new EdgeLimits(1_000, 1_000, 2_000, 10_000));
+	}
+
+	/**
+	 * Guards against refusing a request as late because a configuration lowers the time
+	 * limit while it arrives.
+	 */
+	@Test
+	void aRequestKeepsTheTimeThatItBeganWith() throws Exception {
+		lowerBetweenHalves("POST /a HTTP/1.1\r\nContent-Length: 1600\r\n\r\n%s|%s",
+				new EdgeLimits(2_000, 2_000, 100, 100));
+	}
+
+	private void lowerBetweenHalves(String request, EdgeLimits lowered) throws Exception {
+		this.limits = new EdgeLimits(2_000, 2_000, 2_000, 10_000);
+		String[] halves = request.formatted("x".repeat(800), "x".repeat(800)).split("\\|");
+		try (Socket socket = connect(halves[0])) {
+			Thread.sleep(200);
+			this.limits = lowered;
+			Thread.sleep(600);
+			socket.getOutputStream().write(halves[1].getBytes(StandardCharsets.UTF_8));
+			assertThat(readSome(socket, "\r\n\r\n")).startsWith("HTTP/1.1 200 ");
+		}
+	}
+
+	/**
+	 * Guards against closing connections of callers who kept to the idle timeout in force
+	 * when they became idle, new ones and kept ones.
+	 */
+	@ParameterizedTest
+	@ValueSource(strings = { "", "GET /first HTTP/1.1\r\nHost: x\r\n\r\n" })
+	void anIdleConnectionKeepsTheTimeoutThatItBeganWith(String before) throws Exception {
+		try (Socket socket = connect(before)) {
+			Thread.sleep(200);
+			this.limits = new EdgeLimits(2_048, 1_000, 300, 100);
+			Thread.sleep(600);
+			socket.getOutputStream().write("GET /late HTTP/1.1\r\nHost: x\r\n\r\n".getBytes(StandardCharsets.UTF_8));
+			assertThat(readSome(socket, "/late")).contains("/late");
+		}
+	}
+
 	/**
 	 * Guards against fields that escape the limit: in many short lines, in one line
 	 * without an end, or behind a chunked body.
