--- a/gateway/src/main/java/org/skylarkstack/edge/BackendClient.java
+++ b/gateway/src/main/java/org/skylarkstack/edge/BackendClient.java
@@ -13,8 +13,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 
 /**
  * HTTP client that calls backend servers and opens a new connection for each call.
@@ -26,8 +25,6 @@
  */
 public final class BackendClient {
 
-	private static final int MAX_HEADER_BYTES = 32 * 1024;
-
 	private final EventLoop loop;
 
 	private final int connectTimeoutMillis;
@@ -164,9 +161,9 @@
 
 		@Override
 		protected void initChannel(Channel channel) {
-			HttpDecoderConfig config = new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES);
 			channel.pipeline()
-				.addLast(this.connection.inputGuard(), new HttpClientCodec(config, false, false), this.connection);
+				.addLast(this.connection.inputGuard(), new BackendResponseDecoder(this.connection::isHead),
+						new HttpRequestEncoder(), this.connection);
 		}
 
 	}
--- a/gateway/src/main/java/org/skylarkstack/edge/BackendConnection.java
+++ b/gateway/src/main/java/org/skylarkstack/edge/BackendConnection.java
@@ -111,6 +111,11 @@
 		return new InputGuard();
 	}
 
+	boolean isHead() {
+		BackendRequest pending = this.request;
+		return pending != null && "HEAD".equals(pending.method());
+	}
+
 	void expire() {
 		fail(BackendFailure.Kind.SILENT);
 	}
--- a/gateway/src/test/java/org/skylarkstack/edge/BackendClientTests.java
+++ b/gateway/src/test/java/org/skylarkstack/edge/BackendClientTests.java
@@ -17,6 +17,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -221,6 +223,34 @@
 		assertThat(call("\u0001\u0002 nonsense\r\n\r\n", false)).isEqualTo("MALFORMED MAY_HAVE_RUN");
 	}
 
+	/** Guards against passing on a response whose status line HTTP does not allow. */
+	@ParameterizedTest
+	@ValueSource(strings = { "HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 600 OK", "HTTP/1.1 0200 OK",
+			"HTTP/1.1 +20 OK", "HTTP/1.1 -20 OK", "HTTP/1.1 20 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 2OO OK", "HTTP/1.1",
+			"HTTP/1.1  OK", "HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "RTSP/1.0 200 OK" })
+	void invalidStatusLineIsReportedAsMalformed(String statusLine) throws Exception {
+		assertThat(call(statusLine + "\r\nContent-Length: 5\r\n\r\nhello", false)).isEqualTo("MALFORMED MAY_HAVE_RUN");
+	}
+
+	/** Guards against rejecting status lines that HTTP allows. */
+	@ParameterizedTest
+	@ValueSource(strings = { "HTTP/1.1 200", "HTTP/1.1 200 ", "HTTP/1.0 200 OK", "HTTP/1.1 200 Not so bad" })
+	void validStatusLineIsAccepted(String statusLine) throws Exception {
+		assertThat(call(statusLine + "\r\nContent-Length: 5\r\n\r\nhello", false)).isEqualTo("200 hello");
+	}
+
+	/** Guards against a response to HEAD that waits for the body that it announces. */
+	@Test
+	void responseToHeadHasNoBody() throws Exception {
+		BackendRequest request = new BackendRequest((InetSocketAddress) this.listener.getLocalSocketAddress(), "HEAD",
+				"/a", new DefaultHttpHeaders(), new byte[0], null);
+		this.group.next().execute(() -> this.client.call(request, new Recorder()));
+		try (Socket socket = this.listener.accept()) {
+			socket.getOutputStream().write((OK + "Content-Length: 5\r\n\r\n").getBytes(StandardCharsets.UTF_8));
+			assertThat(this.outcome.poll(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).isEqualTo("200 ");
+		}
+	}
+
 	/**
 	 * Guards against reporting that a request may have run when the connection was
 	 * refused and nothing was sent.
--- a/runtime/src/main/java/org/skylarkstack/engine/BackendClients.java
+++ b/runtime/src/main/java/org/skylarkstack/engine/BackendClients.java
@@ -49,6 +49,7 @@
 			.protocols(List.of(Protocol.HTTP_1_1))
 			.connectTimeout(Duration.ofMillis(connectMillis))
 			.addNetworkInterceptor(new NoRetryInterceptor())
+			.addNetworkInterceptor(new StatusInterceptor())
 			.eventListenerFactory(SendTracker::of)
 			.build();
 		this.unpooled = this.base.newBuilder().connectionPool(new ConnectionPool(0, 1, TimeUnit.SECONDS)).build();
--- a/runtime/src/test/java/org/skylarkstack/request/BrokenOffResponseTests.java
+++ b/runtime/src/test/java/org/skylarkstack/request/BrokenOffResponseTests.java
@@ -113,6 +113,17 @@
 		assertThat(failure.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
 	}
 
+	/** Guards against passing on a response whose status line HTTP does not allow. */
+	@ParameterizedTest
+	@ValueSource(strings = { "HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 600 OK", "HTTP/1.1 -20 OK",
+			"HTTP/1.1 +20 OK", "HTTP/1.1 0200 OK", "HTTP/1.1 20 OK", "HTTP/2.0 200 OK", "RTSP/1.0 200 OK" })
+	void invalidStatusLineIsNoResponse(String statusLine) {
+		respondAndClose(statusLine + "\r\nContent-Length: 5\r\n\r\nhello");
+		RouterException failure = Exceptions.assertThrows(RouterException.class, () -> run(READ_BYTES));
+		assertThat(failure.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+		assertThat(this.received.size()).isEqualTo(0);
+	}
+
 	private void respondAndClose(String response) {
 		this.threads.execute(() -> {
 			try (Socket socket = this.listener.accept()) {
