--- a/gateway/src/main/java/org/skylarkstack/edge/BackendConnection.java
+++ b/gateway/src/main/java/org/skylarkstack/edge/BackendConnection.java
@@ -31,9 +31,11 @@
  * <p>
  * {@link ResponseCompleteness} decides whether a response is complete. The decoder does
  * not tell the end of a body without a length from a connection that was closed because
- * of a failed write; {@link InputGuard} does. A response that echoes the identifier of
- * another request is skipped, as are informational responses; the bytes before the head
- * of the response are bounded in total.
+ * of a failed write; {@link InputGuard} does. Nor does an end of the server's output that
+ * comes before the request has been sent completely complete such a body: a server that
+ * fails may end its output before it resets the connection. A response that echoes the
+ * identifier of another request is skipped, as are informational responses; the bytes
+ * before the head of the response are bounded in total.
  */
 final class BackendConnection extends ChannelInboundHandlerAdapter implements BackendCall, PreparedConnection {
 
@@ -53,6 +55,8 @@
 
 	private boolean sent;
 
+	private boolean sentCompletely;
+
 	private @Nullable ResponseCompleteness completeness;
 
 	private boolean skipping;
@@ -146,7 +150,7 @@
 		if (message.body().length > 0 || !"GET".equals(message.method())) {
 			HttpUtil.setContentLength(encoded, message.body().length);
 		}
-		open.writeAndFlush(encoded);
+		open.writeAndFlush(encoded).addListener((future) -> this.sentCompletely = future.isSuccess());
 	}
 
 	@Override
@@ -217,7 +221,7 @@
 		if (this.done || !(content instanceof LastHttpContent)) {
 			return;
 		}
-		if (current.isComplete(this.reset)) {
+		if (current.isComplete(this.reset || !this.sentCompletely)) {
 			this.done = true;
 			close();
 			receiver.ended();
--- a/gateway/src/test/java/org/skylarkstack/edge/BackendClientTests.java
+++ b/gateway/src/test/java/org/skylarkstack/edge/BackendClientTests.java
@@ -161,6 +161,10 @@
 	// The server reads only the head of a request that is longer than all buffers on its
 	// way, responds, and resets the connection.
 	private String callWithUnreadBody(String response) throws Exception {
+		return callWithUnreadBody(response, false);
+	}
+
+	private String callWithUnreadBody(String response, boolean endsOutput) throws Exception {
 		BackendRequest request = new BackendRequest((InetSocketAddress) this.listener.getLocalSocketAddress(), "POST",
 				"/a", new DefaultHttpHeaders().set("X-Id", "mine"), new byte[LONG_BODY_BYTES], "X-Id");
 		this.group.next().execute(() -> this.client.call(request, new Recorder()));
@@ -168,6 +172,9 @@
 			socket.getInputStream().readNBytes(READ_BYTES);
 			socket.getOutputStream().write(response.getBytes(StandardCharsets.UTF_8));
 			socket.getOutputStream().flush();
+			if (endsOutput) {
+				socket.shutdownOutput();
+			}
 			Thread.sleep(100);
 			socket.setSoLinger(true, 0);
 		}
@@ -186,6 +193,16 @@
 		assertThat(callWithUnreadBody(OK + "Content-Length: 5\r\n\r\nhello")).isEqualTo("200 hello");
 	}
 
+	/**
+	 * Guards against treating a response without a length as complete when the server
+	 * ends its output in the middle of the request and resets the connection after that.
+	 */
+	@Test
+	void responseThatEndsBeforeTheRequestHasBeenSentIsIncomplete() throws Exception {
+		assertThat(callWithUnreadBody(OK + "\r\nhello", true)).isEqualTo("BROKEN MAY_HAVE_RUN");
+		assertThat(callWithUnreadBody(OK + "Content-Length: 5\r\n\r\nhello", true)).isEqualTo("200 hello");
+	}
+
 	/**
 	 * Guards against treating a response as complete when the server closes the
 	 * connection before the content length or the last chunk is reached.
--- a/kernel/src/main/java/org/skylarkstack/response/ResponseCompleteness.java
+++ b/kernel/src/main/java/org/skylarkstack/response/ResponseCompleteness.java
@@ -6,9 +6,10 @@
  *
  * <p>
  * A body with a length or chunks has its own end, which the HTTP client checks. A body
- * with neither ends with its connection, so that it is complete only if neither a read
- * nor a write has failed before: a failed write may take the error from the socket, and
- * the next read then reports the end of the input.
+ * with neither ends with its connection, so that it is complete only if the request has
+ * been sent completely and neither a read nor a write has failed before: a failed write
+ * may take the error from the socket, and the next read then reports the end of the
+ * input.
  *
  * <p>
  * A stream of server-sent events also ends with a complete event, whatever its framing: a
@@ -75,8 +76,8 @@
 
 	/**
 	 * Returns whether the response is complete.
-	 * @param connectionFailed whether a read or a write of the connection has failed, or
-	 * it was closed without the end of the input
+	 * @param connectionFailed whether a read or a write of the connection has failed, it
+	 * was closed without the end of the input, or the request was not sent completely
 	 * @return whether the response may be passed on as complete
 	 */
 	public boolean isComplete(boolean connectionFailed) {
--- a/runtime/src/test/java/org/skylarkstack/request/BrokenOffResponseTests.java
+++ b/runtime/src/test/java/org/skylarkstack/request/BrokenOffResponseTests.java
@@ -82,11 +82,18 @@
 
 	// Sends a response without having read the request, and resets the connection.
 	private void respondAndReset(String response) {
+		respondAndReset(response, false);
+	}
+
+	private void respondAndReset(String response, boolean endsOutput) {
 		this.threads.execute(() -> {
 			try (Socket socket = this.listener.accept()) {
 				socket.getInputStream().readNBytes(READ_BYTES);
 				socket.getOutputStream().write(response.getBytes(StandardCharsets.UTF_8));
 				socket.getOutputStream().flush();
+				if (endsOutput) {
+					socket.shutdownOutput();
+				}
 				Thread.sleep(100);
 				socket.setSoLinger(true, 0);
 			}
@@ -113,6 +120,17 @@
 		assertThat(failure.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
 	}
 
+	/**
+	 * Guards against treating a response without a length as complete when the server
+	 * ends its output in the middle of the request and resets the connection after that.
+	 */
+	@Test
+	void responseThatEndsBeforeTheRequestHasBeenSentIsIncomplete() {
+		respondAndReset(OK + "\r\nhello", true);
+		RouterException failure = Exceptions.assertThrows(RouterException.class, () -> run(LONG_BODY_BYTES));
+		assertThat(failure.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+	}
+
 	/** Guards against passing on a response whose status line HTTP does not allow. */
 	@ParameterizedTest
 	@ValueSource(strings = { "HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 600 OK", "HTTP/1.1 -20 OK",
