Do not apply the timeout for bodies to responses in the product's router

What callers would see: a caller that reads a long response slowly loses its connection 10 s after the socket last took bytes, although it reads all the time.

Cause: callerLimits.bodyTimeoutMillis, which bounds the receiving of a body, was the idle timeout of the connection while a request is processed, and Jetty fails a blocked write after it.

Evidence: before, CallerApiTests.callerThatReadsSlowlyGetsItsWholeResponse ended with EOFException; now it passes. callerThatDoesNotReadIsGivenUp still passes, with a new limit of 8 s and its bound of 20 s unchanged.

--- a/runtime/src/main/java/org/skylarkstack/http/CallerApi.java
+++ b/runtime/src/main/java/org/skylarkstack/http/CallerApi.java
@@ -159,7 +159,7 @@
 	private static void handleInternalError(Exception failure, Context context) {
 		LOG.atError().addKeyValue("event", "request_failed").setCause(failure).log();
 		if (context.res().isCommitted()) {
-			new JettyConnection(context).abort();
+			JettyConnection.abort(context);
 			return;
 		}
 		ErrorResponse.write(context, new RouterException(ErrorType.INTERNAL));
@@ -197,7 +197,7 @@
 		if (this.configuration.current().engines(request.model()).isEmpty()) {
 			throw new RouterException(ErrorType.UNKNOWN_MODEL, request.model());
 		}
-		JettyConnection connection = new JettyConnection(context);
+		JettyConnection connection = new JettyConnection(context, this.limits.unreadTimeoutMillis());
 		OpenRequest open = new OpenRequest(keyHash, team.id(), request.fingerprint(team.id()), slot.cancellation());
 		try (CallerExchange exchange = new CallerExchange(this.openRequests, this.disconnectMonitor, connection,
 				open)) {
--- a/runtime/src/main/java/org/skylarkstack/http/JettyConnection.java
+++ b/runtime/src/main/java/org/skylarkstack/http/JettyConnection.java
@@ -30,11 +30,19 @@
 
 	private boolean pipelined;
 
-	JettyConnection(Context context) {
+	/**
+	 * Begins the processing of a request whose body has been received.
+	 * @param context the request and response of the caller
+	 * @param unreadTimeoutMillis the timeout for sending a response of which the caller
+	 * reads nothing, in milliseconds
+	 */
+	JettyConnection(Context context, long unreadTimeoutMillis) {
 		this.request = ServletContextRequest.getServletContextRequest(context.req());
-		this.endPoint = this.request.getConnectionMetaData().getConnection().getEndPoint();
-		// Jetty's idle timeout is meant for reading requests. Processing may take longer,
-		// so the timeout is ignored from here on.
+		this.endPoint = endPoint(this.request);
+		// Jetty fails a write after its idle timeout, which is that for reading requests
+		// until here. It ignores the timeout while nothing is written, because processing
+		// may take longer, and restores the former one after the response.
+		this.endPoint.setIdleTimeout(unreadTimeoutMillis);
 		this.request.addIdleTimeoutListener((timeout) -> false);
 	}
 
@@ -62,12 +70,28 @@
 		}
 	}
 
+	private static EndPoint endPoint(Request request) {
+		return request.getConnectionMetaData().getConnection().getEndPoint();
+	}
+
 	/**
 	 * Closes the connection, so that the caller does not take a partial response for a
 	 * complete one.
 	 */
 	void abort() {
-		this.endPoint.close(new IOException("the response is incomplete"));
+		abort(this.endPoint);
+	}
+
+	/**
+	 * Closes the connection of a request like {@link #abort()}.
+	 * @param context the request and response of the caller
+	 */
+	static void abort(Context context) {
+		abort(endPoint(ServletContextRequest.getServletContextRequest(context.req())));
+	}
+
+	private static void abort(EndPoint endPoint) {
+		endPoint.close(new IOException("the response is incomplete"));
 	}
 
 	/**
--- a/runtime/src/main/java/org/skylarkstack/http/ServiceApi.java
+++ b/runtime/src/main/java/org/skylarkstack/http/ServiceApi.java
@@ -45,6 +45,8 @@
 
 	private final BodyReader bodies;
 
+	private final long unreadTimeoutMillis;
+
 	private final RouterMetrics metrics;
 
 	/**
@@ -70,6 +72,7 @@
 		this.idempotencyKeyHandler = idempotencyKeyHandler;
 		this.proxy = proxy;
 		this.bodies = new BodyReader(limits, time);
+		this.unreadTimeoutMillis = limits.unreadTimeoutMillis();
 		this.metrics = metrics;
 	}
 
@@ -88,7 +91,7 @@
 			throw new RouterException(ErrorType.BAD_REQUEST, "the API key must not be part of the query");
 		}
 		byte[] body = this.bodies.read(context.req().getInputStream(), context.req().getContentLengthLong(), slot);
-		JettyConnection connection = new JettyConnection(context);
+		JettyConnection connection = new JettyConnection(context, this.unreadTimeoutMillis);
 		OpenRequest open = new OpenRequest(keyHash, teamId, "", slot.cancellation());
 		try (CallerExchange exchange = new CallerExchange(this.openRequests, this.disconnectMonitor, connection,
 				open)) {
--- a/runtime/src/test/java/org/skylarkstack/http/CallerApiTests.java
+++ b/runtime/src/test/java/org/skylarkstack/http/CallerApiTests.java
@@ -46,7 +46,12 @@
  */
 class CallerApiTests {
 
-	private static final CallerLimits LIMITS = new CallerLimits(4_096, 10_000, 10, 2_000);
+	private static final CallerLimits LIMITS = new CallerLimits(4_096, 10_000, 10, 2_000, 8_000);
+
+	// More than the socket buffers of both ends hold.
+	private static final int LARGE_BYTES = 32 * 1024 * 1024;
+
+	private static final int PART_BYTES = 10_000;
 
 	private static final String BODY = "{\"model\":\"model\",\"prompt\":\"hello\",\"stream\":true}";
 
@@ -248,6 +253,21 @@
 		}
 	}
 
+	// Guards against a response that is cut off by the time limit for bodies of requests
+	// although its caller reads it, but more slowly than the socket reports.
+	@Test
+	void callerThatReadsSlowlyGetsItsWholeResponse() throws Exception {
+		this.service.enqueue(new MockResponse.Builder().body("x".repeat(LARGE_BYTES)).build());
+		try (Socket socket = send(head("GET /menu", 0, "Connection: close"))) {
+			readUntil(socket, "\r\n\r\n");
+			for (int pause = 0; pause < 20; pause++) {
+				Thread.sleep(200);
+				socket.getInputStream().skipNBytes(PART_BYTES);
+			}
+			socket.getInputStream().skipNBytes(LARGE_BYTES - 20 * PART_BYTES);
+		}
+	}
+
 	// Guards against a pipelined request that is mistaken for a disconnect of the caller,
 	// or that gets the response to another request.
 	@Test
