--- a/gateway/src/main/java/org/skylarkstack/edge/CallerConnection.java
+++ b/gateway/src/main/java/org/skylarkstack/edge/CallerConnection.java
@@ -100,8 +100,9 @@
 	}
 
 	/**
-	 * Refuses the request if its fields are too large.
-	 * @param length the length of the fields received so far, in bytes
+	 * Refuses the request if its head or its trailing fields are too large.
+	 * @param length the length received so far that counts towards the header limit, in
+	 * bytes
 	 */
 	void fieldsReceived(long length) {
 		if (length > this.lifetime.limits().maxHeaderBytes()) {
@@ -194,7 +195,7 @@
 
 	private void begin(HttpRequest request) {
 		if (request.decoderResult().isFailure()) {
-			reject(400, "the request head is malformed or its first line is too long");
+			reject(400, "the request head is malformed");
 			return;
 		}
 		if (request.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)
--- a/gateway/src/main/java/org/skylarkstack/edge/CallerRequestDecoder.java
+++ b/gateway/src/main/java/org/skylarkstack/edge/CallerRequestDecoder.java
@@ -21,12 +21,13 @@
  * connection is detected while a request is handled.
  *
  * <p>
- * The size of the fields is bounded here rather than by the super class, whose limit is
- * fixed when the connection is accepted.
+ * The lengths of the request line and of the fields are bounded here rather than by the
+ * super class, whose limits are fixed when the connection is accepted.
  */
 final class CallerRequestDecoder extends HttpRequestDecoder {
 
-	private static final int MAX_LINE_BYTES = 8_192;
+	// By how much a request line, or the line of a chunk, may exceed the header limit.
+	private static final int LINE_ALLOWANCE_BYTES = 8_192;
 
 	// A field takes an entry of the headers, its name and its value, and as much again in
 	// the request to the server.
@@ -61,6 +62,8 @@
 
 	private int fieldsIndex;
 
+	private int requestLineLength;
+
 	// Bytes of the head or the trailing fields that are being received.
 	private long fieldBytes;
 
@@ -74,7 +77,7 @@
 	private boolean awaitsTurn;
 
 	CallerRequestDecoder(CallerConnection connection, InputTurns turns) {
-		super(new HttpDecoderConfig().setMaxInitialLineLength(MAX_LINE_BYTES).setMaxHeaderSize(Integer.MAX_VALUE));
+		super(new HttpDecoderConfig().setMaxInitialLineLength(Integer.MAX_VALUE).setMaxHeaderSize(Integer.MAX_VALUE));
 		this.connection = connection;
 		this.turns = turns;
 	}
@@ -211,7 +214,7 @@
 		HttpMessage head = this.arriving;
 		boolean complete = !messages.isEmpty();
 		if (!complete || head != null || hasTrailingFields(messages)) {
-			measureFields(input, complete);
+			boundLengths(input, complete);
 			if (this.connection.ignoresInput()) {
 				return;
 			}
@@ -225,6 +228,7 @@
 		this.headCost = HEAD_BYTES + cost;
 		this.fieldBytes = 0;
 		this.fieldLength = 0;
+		this.requestLineLength = 0;
 		this.arriving = null;
 		this.allowance -= 1 + ((head != null) ? head.headers().size() / FIELDS_PER_MESSAGE : 0);
 	}
@@ -233,7 +237,7 @@
 		return messages.get(messages.size() - 1) instanceof LastHttpContent last && !last.trailingHeaders().isEmpty();
 	}
 
-	private void measureFields(ByteBuf input, boolean complete) {
+	private void boundLengths(ByteBuf input, boolean complete) {
 		for (int index = this.fieldsIndex; index < input.readerIndex(); index++) {
 			byte next = input.getByte(index);
 			if (next != HttpConstants.CR && next != HttpConstants.LF) {
@@ -246,10 +250,10 @@
 			length += Math.max(0, input.readableBytes() - 1);
 		}
 		if (this.arriving == null) {
-			// A request line, or the line of a chunk that precedes trailing fields.
-			length -= MAX_LINE_BYTES;
+			// A request line, or the line of a chunk, which may precede trailing fields.
+			length -= LINE_ALLOWANCE_BYTES;
 		}
-		this.connection.fieldsReceived(length);
+		this.connection.fieldsReceived(Math.max(length, this.requestLineLength - LINE_ALLOWANCE_BYTES));
 	}
 
 	@Override
@@ -257,7 +261,10 @@
 		HttpMessage message = super.createMessage(initialLine);
 		this.arriving = message;
 		ByteBuf input = this.decodingInput;
-		this.fieldsIndex = (input != null) ? input.readerIndex() : 0;
+		if (input != null) {
+			this.requestLineLength = input.readerIndex() - this.fieldsIndex;
+			this.fieldsIndex = input.readerIndex();
+		}
 		return message;
 	}
 
--- a/gateway/src/test/java/org/skylarkstack/edge/EdgeServerTests.java
+++ b/gateway/src/test/java/org/skylarkstack/edge/EdgeServerTests.java
@@ -344,6 +344,23 @@
 		}
 	}
 
+	/**
+	 * Guards against refusing a request whose first line is long, but within the header
+	 * limit, and against a first line without any limit.
+	 */
+	@Test
+	void theRequestLineHasALimitThatFollowsTheHeaderLimit() throws Exception {
+		this.limits = new EdgeLimits(20_000, 1_000, 300, 10_000);
+		try (Socket socket = connect(get("/" + "p".repeat(19_000), 100))) {
+			assertThat(readSome(socket, "\r\n\r\n")).startsWith("HTTP/1.1 200 ");
+		}
+		for (String end : new String[] { "", " HTTP/1.1\r\nHost: x\r\n\r\n" }) {
+			try (Socket socket = connect("GET /" + "p".repeat(29_000) + end)) {
+				assertThat(readAll(socket)).startsWith("HTTP/1.1 431 ");
+			}
+		}
+	}
+
 	/**
 	 * Guards against counting anything else as header fields: the chunks of a body that
 	 * arrive together, and a request line.
