--- a/gateway/src/main/java/org/skylarkstack/edge/BackendConnection.java
+++ b/gateway/src/main/java/org/skylarkstack/edge/BackendConnection.java
@@ -31,11 +31,11 @@
  * <p>
  * {@link ResponseCompleteness} decides whether a response is complete. The decoder does
  * not tell the end of a body without a length from a connection that was closed because
- * of a failed write; {@link InputGuard} does. Nor does an end of the server's output that
- * comes before the request has been sent completely complete such a body: a server that
- * fails may end its output before it resets the connection. A response that echoes the
- * identifier of another request is skipped, as are informational responses; the bytes
- * before the head of the response are bounded in total.
+ * of a failed write; {@link InputGuard} does. Such a body is also incomplete if the
+ * server ends its output before the request has been sent: a server that fails may do so
+ * before it resets the connection. A response that echoes the identifier of another
+ * request is skipped, as are informational responses; the bytes before the head of the
+ * response are bounded in total.
  */
 final class BackendConnection extends ChannelInboundHandlerAdapter implements BackendCall, PreparedConnection {
 
--- a/gateway/src/main/java/org/skylarkstack/edge/CallerRequestDecoder.java
+++ b/gateway/src/main/java/org/skylarkstack/edge/CallerRequestDecoder.java
@@ -60,6 +60,7 @@
 
 	private @Nullable ByteBuf decodingInput;
 
+	// Where the fields begin in the input that is decoded.
 	private int fieldsIndex;
 
 	private int requestLineLength;
@@ -210,6 +211,7 @@
 		this.decodingInput = input;
 		this.fieldsIndex = before;
 		super.decode(current, input, messages);
+		this.decodingInput = null;
 		this.fieldBytes += input.readerIndex() - before;
 		HttpMessage head = this.arriving;
 		boolean complete = !messages.isEmpty();
