Land the test of a status line that the product's router still passes on

"ICY 200 OK" failed while the test of invalid status lines was written, and was left out of it, because OkHttp does not show the line. No other code is changed.

--- a/runtime/src/test/java/org/skylarkstack/request/BrokenOffResponseTests.java
+++ b/runtime/src/test/java/org/skylarkstack/request/BrokenOffResponseTests.java
@@ -142,6 +142,17 @@
 		assertThat(this.received.size()).isEqualTo(0);
 	}
 
+	/**
+	 * Guards against passing on a response of another protocol, which OkHttp takes for a
+	 * response of HTTP/1.0.
+	 */
+	@Test
+	void statusLineOfAnAudioStreamIsNoResponse() {
+		respondAndClose("ICY 200 OK\r\nContent-Length: 5\r\n\r\nhello");
+		RouterException failure = Exceptions.assertThrows(RouterException.class, () -> run(READ_BYTES));
+		assertThat(failure.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+	}
+
 	private void respondAndClose(String response) {
 		this.threads.execute(() -> {
 			try (Socket socket = this.listener.accept()) {
