--- a/review/standin-3/TenantNames.java
+++ b/review/standin-3/TenantNames.java
@@ -71,7 +71,9 @@
 		Rig.sleep(1_000);
 		rig.record("the operator writes version 4 with the tenants %s and %s", first, second);
 		List<String> tenants = new ArrayList<>();
-		tenantByKey.forEach((key, name) -> tenants.add(tenant(name, key)));
+		for (Map.Entry<String, String> entry : tenantByKey.entrySet()) {
+			tenants.add(tenant(entry.getValue(), entry.getKey()));
+		}
 		store.put("op", "config", config(4, tenants));
 		// configApplyMs is 2 s.
 		Rig.sleep(3_000);
