Gateway: a server's status of refusal without proof is not passed on

What callers saw: a server ran a booking and responded 503 of its own.

Cause: whether a request may be sent again was decided by the header with which a server states that it has not run it, but any signed error was passed on with its status, which callers read as that statement.

Statuses that promise nothing and stated refusals are passed on as before.

--- a/gateway/src/main/java/org/skylarkstack/edge/BackendFailure.java
+++ b/gateway/src/main/java/org/skylarkstack/edge/BackendFailure.java
@@ -39,7 +39,13 @@
 		OVERSIZED,
 
 		/** The server sent nothing within the time limit. */
-		SILENT
+		SILENT,
+
+		/**
+		 * The server responded with the status of a refusal, but did not state that it
+		 * has not run the request.
+		 */
+		UNPROVEN_REFUSAL
 
 	}
 
--- a/gateway/src/main/java/org/skylarkstack/gateway/ResponseHead.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/ResponseHead.java
@@ -1,5 +1,7 @@
 package org.skylarkstack.gateway;
 
+import org.skylarkstack.response.RefusalStatus;
+
 /**
  * The head of a backend server's response, decoded from its status and headers.
  *
@@ -23,4 +25,14 @@
 		return this.status / 100 == 2;
 	}
 
+	/**
+	 * Returns whether callers would take the status for the statement that the request
+	 * has not run, although the server does not state this. Such a response is not passed
+	 * on.
+	 * @return whether the response only looks like a refusal
+	 */
+	public boolean isUnprovenRefusal() {
+		return !this.notExecuted && RefusalStatus.matches(this.status);
+	}
+
 }
--- a/gateway/src/main/java/org/skylarkstack/gateway/StreamExchange.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/StreamExchange.java
@@ -599,6 +599,9 @@
 			if (mayRetry(true)) {
 				resume(null);
 			}
+			else if (head.isUnprovenRefusal()) {
+				giveUp(new BackendFailure(BackendFailure.Kind.UNPROVEN_REFUSAL, Verdict.MAY_HAVE_RUN));
+			}
 			else if (!StreamExchange.this.responseStarted && finish(head.status(), 0)) {
 				release();
 				response().send(head.status(), components().dialect().forwardedHeaders(headers()), body());
