Product's router: a status of refusal leaves only if nothing has run

What callers would see: a plain service runs a booking and responds 503; the product's router passed the 503 on and stored it under the idempotency key. Errors such as 1105 after an attempt that may have run left with 503 and the verdict may-have-run.

Cause: as in the gateway, the status of a response was independent of the verdict.

Fix: ServiceProxy takes 408, 421, 429 and 503 of a service as a failure that may have run, as a service has no way to state a refusal; stored ones are not replayed. RouterException.httpStatus gives 502 for errors with such a status if the request may have run. 1301 before any attempt is "not run", 2003 has 504.

--- a/gateway/src/main/java/org/skylarkstack/gateway/Exchange.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/Exchange.java
@@ -392,7 +392,7 @@
 	}
 
 	private void refuse(RouterException failure) {
-		if (finish(failure.type().httpStatus(), failure.type().code())) {
+		if (finish(failure.httpStatus(), failure.type().code())) {
 			release();
 			if (!abortResponse()) {
 				Gateway.refuse(this.components, this.context.facts(), this.response, failure);
--- a/gateway/src/main/java/org/skylarkstack/gateway/Gateway.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/Gateway.java
@@ -49,13 +49,13 @@
 			admit(request, facts, response, now);
 		}
 		catch (RouterException ex) {
-			this.components.metrics().request("none", ex.type().httpStatus(), ex.type().code());
+			this.components.metrics().request("none", ex.httpStatus(), ex.type().code());
 			log.atInfo()
 				.addKeyValue("event", "request-refused")
 				.addKeyValue("id", facts.requestId())
 				.addKeyValue("path", request.path())
 				.addKeyValue("code", ex.type().code())
-				.addKeyValue("status", ex.type().httpStatus())
+				.addKeyValue("status", ex.httpStatus())
 				.addKeyValue("why", ex.getMessage())
 				.addKeyValue("version", version())
 				.addKeyValue("keyAgeMs", this.components.state().freshness().ageMillis(now, System.currentTimeMillis()))
@@ -129,7 +129,7 @@
 			headers.set(HttpHeaderNames.RETRY_AFTER,
 					"%.3f".formatted((double) retryAfter.toMillis() / MILLIS_PER_SECOND));
 		}
-		response.send(failure.type().httpStatus(), headers,
+		response.send(failure.httpStatus(), headers,
 				("%d %s%n".formatted(failure.type().code(), failure.getMessage())).getBytes(StandardCharsets.UTF_8));
 	}
 
--- a/kernel/src/main/java/org/skylarkstack/kernel/ErrorType.java
+++ b/kernel/src/main/java/org/skylarkstack/kernel/ErrorType.java
@@ -71,8 +71,12 @@
 	/** The request ran, but its response is not stored. */
 	ANSWER_NOT_KEPT(1204, 409, "conflict_error", Verdict.RAN, "the request ran and its answer is no longer available"),
 
-	/** The request is refused because backend servers failed while running it. */
-	CRASH_SUSPECT(1301, 503, "overloaded_error", Verdict.MAY_HAVE_RUN,
+	/**
+	 * The request is refused because backend servers failed while running it. The verdict
+	 * on its earlier attempts is added to this one; a caller that sends the same content
+	 * again has sent a new request.
+	 */
+	CRASH_SUSPECT(1301, 503, "overloaded_error", Verdict.NOT_RUN,
 			"the request is refused because %s backend servers failed while running it"),
 
 	/** The backend server failed. */
@@ -116,7 +120,7 @@
 	 * The store has not confirmed the ticket, so it is not yet known whether the ticket
 	 * was recorded.
 	 */
-	TICKET_UNKNOWN(2003, 503, "api_error", Verdict.MAY_HAVE_RUN,
+	TICKET_UNKNOWN(2003, 504, "api_error", Verdict.MAY_HAVE_RUN,
 			"the store did not confirm ticket %s; send the same ticket again"),
 
 	/** The ticket is not recorded. */
@@ -161,8 +165,10 @@
 	}
 
 	/**
-	 * Returns the HTTP status of responses with this error.
+	 * Returns the HTTP status of responses with this error if its default verdict
+	 * applies.
 	 * @return the HTTP status code
+	 * @see RouterException#httpStatus()
 	 */
 	public int httpStatus() {
 		return this.httpStatus;
--- a/kernel/src/main/java/org/skylarkstack/kernel/RouterException.java
+++ b/kernel/src/main/java/org/skylarkstack/kernel/RouterException.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 
 import org.jspecify.annotations.Nullable;
+import org.skylarkstack.response.RefusalStatus;
 
 /**
  * Unchecked exception with a numbered error type, and a verdict that states whether the
@@ -12,6 +13,8 @@
 
 	private static final long serialVersionUID = 1L;
 
+	private static final int BAD_GATEWAY = 502;
+
 	private final ErrorType type;
 
 	private final Verdict verdict;
@@ -101,6 +104,17 @@
 		return this.verdict;
 	}
 
+	/**
+	 * Returns the HTTP status of responses with this error. Callers take some statuses
+	 * for the statement that the request has not run; a request that may have run gets
+	 * 502 in their place.
+	 * @return the HTTP status code
+	 */
+	public int httpStatus() {
+		int status = this.type.httpStatus();
+		return (this.verdict != Verdict.NOT_RUN && RefusalStatus.matches(status)) ? BAD_GATEWAY : status;
+	}
+
 	/**
 	 * Returns the time to wait before a retry.
 	 * @return the time, or {@code null} if waiting does not help
--- a/runtime/src/main/java/org/skylarkstack/http/ErrorResponse.java
+++ b/runtime/src/main/java/org/skylarkstack/http/ErrorResponse.java
@@ -33,7 +33,7 @@
 	}
 
 	static void write(Context context, RouterException failure) {
-		context.status(failure.type().httpStatus());
+		context.status(failure.httpStatus());
 		context.header(VERDICT, failure.verdict().headerValue());
 		Duration retryAfter = retryAfter(failure);
 		if (retryAfter != null) {
--- a/runtime/src/main/java/org/skylarkstack/request/ClaimRow.java
+++ b/runtime/src/main/java/org/skylarkstack/request/ClaimRow.java
@@ -8,6 +8,7 @@
 import org.jspecify.annotations.Nullable;
 import org.skylarkstack.kernel.ErrorType;
 import org.skylarkstack.kernel.RouterException;
+import org.skylarkstack.response.RefusalStatus;
 import org.skylarkstack.store.Row;
 import org.skylarkstack.store.RowCondition;
 import org.skylarkstack.store.RowWrite;
@@ -89,12 +90,21 @@
 			throw new RouterException(ErrorType.CLAIM_MISMATCH);
 		}
 		return switch (attributes.getOrDefault(STATE, OPEN)) {
-			case ANSWERED -> Optional.of(new StoredResponse(Integer.parseInt(attributes.getOrDefault(STATUS, "200")),
-					attributes.getOrDefault(CONTENT_TYPE, ""),
-					Base64.getDecoder().decode(attributes.getOrDefault(BODY, ""))));
+			case ANSWERED -> Optional.of(storedResponse(attributes));
 			case RAN -> throw new RouterException(ErrorType.ANSWER_NOT_KEPT);
 			default -> throw new RouterException(ErrorType.CLAIM_IN_PROGRESS);
 		};
 	}
 
+	// Earlier builds have stored statuses of refusals, which do not show whether the
+	// request ran.
+	private static StoredResponse storedResponse(Map<String, String> attributes) {
+		int status = Integer.parseInt(attributes.getOrDefault(STATUS, "200"));
+		if (RefusalStatus.matches(status)) {
+			throw new RouterException(ErrorType.CLAIM_IN_PROGRESS);
+		}
+		return new StoredResponse(status, attributes.getOrDefault(CONTENT_TYPE, ""),
+				Base64.getDecoder().decode(attributes.getOrDefault(BODY, "")));
+	}
+
 }
--- a/runtime/src/main/java/org/skylarkstack/request/ServiceProxy.java
+++ b/runtime/src/main/java/org/skylarkstack/request/ServiceProxy.java
@@ -32,6 +32,7 @@
 import org.skylarkstack.kernel.RouterException;
 import org.skylarkstack.kernel.Verdict;
 import org.skylarkstack.misc.TimeSource;
+import org.skylarkstack.response.RefusalStatus;
 import org.skylarkstack.response.ResponseCompleteness;
 
 /**
@@ -235,6 +236,7 @@
 			Cancellation cancellation = this.request.cancellation();
 			try (Cancellation.Registration registration = cancellation.onCancel(() -> abort(call));
 					Response response = HeadTimeout.execute(call, idle)) {
+				rejectStatusOfRefusal(server, response);
 				relay(response);
 			}
 			catch (IOException ex) {
@@ -247,6 +249,16 @@
 			}
 		}
 
+		// A service cannot state that it has not run a request, but callers would take
+		// the
+		// status for that statement.
+		private static void rejectStatusOfRefusal(BackendServer server, Response response) {
+			if (RefusalStatus.matches(response.code())) {
+				throw RouterException.of(ErrorType.BACKEND_FAILED, Verdict.MAY_HAVE_RUN, null, server.url(),
+						"status %d does not show whether the request ran".formatted(response.code()));
+			}
+		}
+
 		private void abort(Call call) {
 			if (isAborted()) {
 				call.cancel();
--- a/runtime/src/test/java/org/skylarkstack/http/CallerApiTests.java
+++ b/runtime/src/test/java/org/skylarkstack/http/CallerApiTests.java
@@ -12,8 +12,10 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 
 import io.javalin.Javalin;
+import mockwebserver3.Dispatcher;
 import mockwebserver3.MockResponse;
 import mockwebserver3.MockWebServer;
+import mockwebserver3.RecordedRequest;
 import mockwebserver3.SocketEffect;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -314,6 +316,37 @@
 		}
 	}
 
+	// Guards against a booking that its caller sends again, because its service responded
+	// with the status of a refusal after the run, or that runs again under its key.
+	@Test
+	void statusOfARefusalByAServiceIsNotPassedOn() throws IOException {
+		this.service.enqueue(new MockResponse.Builder().code(503).body("not confirmed").build());
+		String booking = head("POST /meals", 5, "Idempotency-Key: k") + "lunch";
+		String response = sendAndReadAll(booking);
+		assertThat(response).startsWith("HTTP/1.1 502");
+		assertThat(response.toLowerCase(java.util.Locale.ROOT)).contains("x-skylark-verdict: may-have-run");
+		assertThat(sendAndReadAll(booking)).startsWith("HTTP/1.1 409");
+		assertThat(this.service.getRequestCount()).isEqualTo(1);
+	}
+
+	// Guards against a status that says that a request has not run, on a request whose
+	// first attempt may have run.
+	@Test
+	void missingServerAfterAnAttemptIsNoRefusal() throws IOException {
+		this.service.setDispatcher(new Dispatcher() {
+			@Override
+			public MockResponse dispatch(RecordedRequest request) {
+				CallerApiTests.this.fixture
+					.apply(new Ticket(3, "test", List.of(TicketChange.set(new BackendService("meals", List.of())))));
+				return new MockResponse.Builder().onResponseStart(new SocketEffect.CloseSocket()).build();
+			}
+		});
+		String response = sendAndReadAll(head("GET /menu", 0));
+		assertThat(response).startsWith("HTTP/1.1 502");
+		assertThat(response).contains("NO_ENGINE");
+		assertThat(response.toLowerCase(java.util.Locale.ROOT)).contains("x-skylark-verdict: may-have-run");
+	}
+
 	// Guards against responses to HEAD that announce a body and never end.
 	@Test
 	void headAndEmptyResponsesPass() throws IOException {
--- a/runtime/src/test/java/org/skylarkstack/kernel/ErrorTypeTests.java
+++ b/runtime/src/test/java/org/skylarkstack/kernel/ErrorTypeTests.java
@@ -4,11 +4,14 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 
 import org.junit.jupiter.api.Test;
+import org.skylarkstack.response.RefusalStatus;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 
 /**
  * Tests of {@link ErrorType} and {@link Verdict}.
@@ -43,6 +46,25 @@
 		}
 	}
 
+	/**
+	 * Guards against an error that callers take for a refusal although the request may
+	 * have run.
+	 */
+	@Test
+	void statusOfARefusalMeansThatNothingRan() {
+		for (ErrorType type : ErrorType.values()) {
+			boolean refusal = RefusalStatus.matches(type.httpStatus());
+			assertWithMessage(type.name()).that(refusal && type.verdict() != Verdict.NOT_RUN).isFalse();
+			for (Verdict verdict : List.of(Verdict.MAY_HAVE_RUN, Verdict.RAN)) {
+				RouterException failure = RouterException.of(type, Verdict.NOT_RUN, null, 1, 2, 3)
+					.withEarlierVerdict(verdict);
+				assertWithMessage(type.name()).that(failure.httpStatus()).isEqualTo(refusal ? 502 : type.httpStatus());
+			}
+			assertThat(RouterException.of(type, Verdict.NOT_RUN, null, 1, 2, 3).httpStatus())
+				.isEqualTo(type.httpStatus());
+		}
+	}
+
 	/** Guards against retrying a non-idempotent request that may have run. */
 	@Test
 	void onlyNotRunPermitsRetryOfNonIdempotentRequests() {
--- a/runtime/src/test/java/org/skylarkstack/request/IdempotencyClaimsTests.java
+++ b/runtime/src/test/java/org/skylarkstack/request/IdempotencyClaimsTests.java
@@ -135,6 +135,16 @@
 		assertThat(this.elsewhere.claim(claim("b1")).orElseThrow().status()).isEqualTo(200);
 	}
 
+	// Guards against replaying the status of a refusal that a service gave after a run.
+	// Earlier builds have stored such responses.
+	@Test
+	void storedStatusOfARefusalIsNotReplayed() {
+		this.claims.claim(claim("a1"));
+		this.claims.record(claim("a1"), new StoredResponse(503, "", new byte[0]));
+		assertThat(refusal(this.claims, claim("a2")).type()).isEqualTo(ErrorType.CLAIM_IN_PROGRESS);
+		assertThat(refusal(this.elsewhere, claim("b1")).type()).isEqualTo(ErrorType.CLAIM_IN_PROGRESS);
+	}
+
 	@Test
 	void lateOutcomeNeverOverwritesAnotherClaim() {
 		this.claims.claim(claim("a1"));
