Gateway: the name of a team arrives at servers as itself

Cause: the header encoder writes characters above U+00FF as question marks; the name was put into the header as text.

A name that a receiver would not get as it is (blank, control characters, half of a surrogate pair, outer spaces, over 1024 bytes) costs its team only: 503 with code 1109, team-name-unusable in the log, an error of check-configuration. The rest of the version is applied. Keys, hosts and prefixes are compared as UTF-8, and hosts without regard to case in ASCII only.

Two rows of odd-configuration-fields.csv asserted that a version with a blank name or one with a line break is rejected as a whole. That loses the other teams' changes; TeamNameTests.aNameThatCannotBeSentCostsOnlyItsTeam checks that such a name reaches no server and that the version needs keys. Names of another type are still rejected, with rows of their own.

--- a/gateway/src/main/java/org/skylarkstack/configurationcheck/ConfigurationCheck.java
+++ b/gateway/src/main/java/org/skylarkstack/configurationcheck/ConfigurationCheck.java
@@ -13,6 +13,7 @@
 import org.skylarkstack.gateway.ServiceRoute;
 import org.skylarkstack.gateway.TeamPolicy;
 import org.skylarkstack.gateway.WeightedService;
+import org.skylarkstack.text.HeaderObstacle;
 
 /**
  * Checks a configuration for entries that conflict with each other or have no effect.
@@ -33,6 +34,8 @@
 		findings.addAll(routesWithoutWeight(table));
 		findings.addAll(duplicateRoutes(table));
 		findings.addAll(duplicateNames(table));
+		findings.addAll(unusableNames(table));
+		findings.addAll(unusableKeys(table));
 		findings.addAll(sharedKeys(table));
 		findings.addAll(unusedServices(table));
 		findings.addAll(missingTeams(table));
@@ -107,6 +110,36 @@
 		return findings;
 	}
 
+	// Requests of such a team are refused.
+	private static List<Finding> unusableNames(RoutingTable table) {
+		List<Finding> findings = new ArrayList<>();
+		for (int index = 0; index < table.teams().size(); index++) {
+			TeamPolicy team = table.teams().get(index);
+			HeaderObstacle obstacle = team.nameObstacle();
+			if (obstacle != null) {
+				findings.add(Finding.error("team-name-" + obstacle.label(), Place.of(index, team), null));
+			}
+		}
+		return findings;
+	}
+
+	// Callers cannot send such a key. Shows the number of the keys, never the keys.
+	private static List<Finding> unusableKeys(RoutingTable table) {
+		List<Finding> findings = new ArrayList<>();
+		for (int index = 0; index < table.teams().size(); index++) {
+			TeamPolicy team = table.teams().get(index);
+			long count = team.keys()
+				.stream()
+				.filter((key) -> HeaderObstacle.of(key) == HeaderObstacle.OUTER_SPACE)
+				.count();
+			if (count > 0) {
+				findings.add(Finding.error("key-outer-space", Place.of(index, team), null,
+						new FieldValue(TeamField.KEYS, Long.toString(count))));
+			}
+		}
+		return findings;
+	}
+
 	// Shows the number of the keys that two teams share, never the keys.
 	private static List<Finding> sharedKeys(RoutingTable table) {
 		List<Finding> findings = new ArrayList<>();
--- a/gateway/src/main/java/org/skylarkstack/gateway/Gateway.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/Gateway.java
@@ -11,6 +11,9 @@
 import org.skylarkstack.edge.CallerResponse;
 import org.skylarkstack.kernel.ErrorType;
 import org.skylarkstack.kernel.RouterException;
+import org.skylarkstack.text.HeaderObstacle;
+import org.skylarkstack.text.HeaderText;
+import org.skylarkstack.text.QuotedText;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -74,7 +77,7 @@
 		if (table == null) {
 			throw RouterException.retryAfter(ErrorType.NOT_READY, DEFAULT_RETRY_AFTER);
 		}
-		ServiceRoute route = table.route(facts.host(), request.path());
+		ServiceRoute route = table.route(facts.host(), HeaderText.decode(request.path()));
 		if (route == null && this.components.state().versions().mayBeOutdated(now)) {
 			throw RouterException.retryAfter(ErrorType.NOT_READY, DEFAULT_RETRY_AFTER);
 		}
@@ -118,6 +121,10 @@
 		if (team == null) {
 			throw new RouterException(ErrorType.UNAUTHENTICATED);
 		}
+		HeaderObstacle obstacle = team.nameObstacle();
+		if (obstacle != null) {
+			throw new RouterException(ErrorType.TEAM_NAME_UNUSABLE, QuotedText.of(team.name()), obstacle.description());
+		}
 		return team;
 	}
 
--- a/gateway/src/main/java/org/skylarkstack/gateway/RoutingTable.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/RoutingTable.java
@@ -6,13 +6,13 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.NavigableSet;
 import java.util.TreeSet;
 
 import org.jspecify.annotations.Nullable;
 import org.skylarkstack.edge.EdgeLimits;
+import org.skylarkstack.text.AsciiCase;
 
 /**
  * One version of the configuration, indexed for lookups by host, key and service name.
@@ -88,7 +88,7 @@
 	 */
 	public @Nullable ServiceRoute route(String host, String path) {
 		int port = host.lastIndexOf(':');
-		String name = ((port < 0) ? host : host.substring(0, port)).toLowerCase(Locale.ROOT);
+		String name = AsciiCase.lower((port < 0) ? host : host.substring(0, port));
 		for (ServiceRoute route : this.routesByHost.getOrDefault(name, List.of())) {
 			if (path.startsWith(route.prefix())) {
 				return route;
--- a/gateway/src/main/java/org/skylarkstack/gateway/TeamPolicy.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/TeamPolicy.java
@@ -3,10 +3,12 @@
 import java.util.Set;
 
 import org.jspecify.annotations.Nullable;
+import org.skylarkstack.text.HeaderObstacle;
 
 /**
  * Configuration of a team: its keys, its priority and its fleet-wide limit. The limit
- * counts units, which are either tokens or requests.
+ * counts units, which are either tokens or requests. Requests of a team whose name cannot
+ * be sent to servers are refused.
  *
  * @param name the name of the team
  * @param keys the valid keys of the team
@@ -27,6 +29,14 @@
 		keys = Set.copyOf(keys);
 	}
 
+	/**
+	 * Returns why servers would not get the name of this team as it is.
+	 * @return the obstacle, or {@code null} if there is none
+	 */
+	public @Nullable HeaderObstacle nameObstacle() {
+		return HeaderObstacle.of(this.name);
+	}
+
 	/**
 	 * Returns the units that a request counts against the limit.
 	 * @param statedTokens the tokens that the request states, or a negative number if it
--- a/kernel/src/main/java/org/skylarkstack/kernel/ErrorType.java
+++ b/kernel/src/main/java/org/skylarkstack/kernel/ErrorType.java
@@ -50,6 +50,10 @@
 	REQUEST_ABOVE_BURST(1108, 400, "invalid_request_error", Verdict.NOT_RUN,
 			"the request needs %s tokens, but the burst of team %s is %s tokens"),
 
+	/** The name of the team cannot be sent to servers unchanged. */
+	TEAM_NAME_UNUSABLE(1109, 503, "overloaded_error", Verdict.NOT_RUN,
+			"requests of team %s are refused because its name %s"),
+
 	/**
 	 * The store is down, so a non-idempotent request with an idempotency key cannot be
 	 * claimed.
