Gateway: a stream is resumed with the bytes of its last event identifier

Cause: the identifier was read as UTF-8 text and put into a header, whose encoder writes letters above U+00FF as question marks.

Fix: identifiers are kept in the form of headers, one character for each byte.

Evidence: EventBufferTests.anIdentifierKeepsTheBytesOfTheEvent failed before the change and passes now.

--- a/gateway/src/main/java/org/skylarkstack/gateway/EventBuffer.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/EventBuffer.java
@@ -51,7 +51,7 @@
 		byte[] completeEvents = Arrays.copyOf(this.partial, end);
 		System.arraycopy(this.partial, end, this.partial, 0, size - end);
 		this.partialBytes = size - end;
-		readIds(new String(completeEvents, StandardCharsets.UTF_8));
+		readIds(new String(completeEvents, StandardCharsets.ISO_8859_1));
 		return completeEvents;
 	}
 
@@ -97,8 +97,9 @@
 	}
 
 	/**
-	 * Returns the identifier of the last complete event.
-	 * @return the identifier, or {@code null} if no event had one
+	 * Returns the identifier of the last complete event in the form that headers have.
+	 * @return the identifier with one character for each byte, or {@code null} if no
+	 * event had one
 	 */
 	public @Nullable String lastEventId() {
 		return this.lastEventId;
--- a/gateway/src/test/java/org/skylarkstack/gateway/EventBufferTests.java
+++ b/gateway/src/test/java/org/skylarkstack/gateway/EventBufferTests.java
@@ -43,6 +43,16 @@
 		assertThat(this.buffer.eventCount()).isEqualTo(2);
 	}
 
+	/**
+	 * Guards against a stream that is resumed after another event, because the header
+	 * encoder writes letters above U+00FF as question marks.
+	 */
+	@Test
+	void anIdentifierKeepsTheBytesOfTheEvent() {
+		append("id: \u017d7\ndata: a\n\n");
+		assertThat(this.buffer.lastEventId()).isEqualTo("\u00c5\u00bd7");
+	}
+
 	/**
 	 * Guards against the end of an event that is missed because a line ending is split
 	 * between two reads.
