Gateway: paths and queries outside ASCII reach servers as sent

Cause: Netty reads the target with one character for each byte and writes it as UTF-8.

Fix: BackendRequestEncoder writes one byte for each character.

Evidence: RequestTargetTests failed before the change and passes now.

--- a/gateway/src/main/java/org/skylarkstack/edge/BackendClient.java
+++ b/gateway/src/main/java/org/skylarkstack/edge/BackendClient.java
@@ -13,7 +13,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpRequestEncoder;
 
 /**
  * HTTP client that calls backend servers and opens a new connection for each call.
@@ -163,7 +162,7 @@
 		protected void initChannel(Channel channel) {
 			channel.pipeline()
 				.addLast(this.connection.inputGuard(), new BackendResponseDecoder(this.connection::isHead),
-						new HttpRequestEncoder(), this.connection);
+						new BackendRequestEncoder(), this.connection);
 		}
 
 	}
