--- a/gateway/src/main/java/org/skylarkstack/logs/BoundedAppender.java
+++ b/gateway/src/main/java/org/skylarkstack/logs/BoundedAppender.java
@@ -8,11 +8,11 @@
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.regex.Pattern;
 
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.classic.spi.IThrowableProxy;
 import ch.qos.logback.core.AppenderBase;
+import org.skylarkstack.text.QuotedText;
 import org.slf4j.event.KeyValuePair;
 
 /**
@@ -23,9 +23,6 @@
 
 	private static final int MAX_QUEUED_LINES = 2_048;
 
-	// Identifiers in the log come from other processes and must not start a line.
-	private static final Pattern LINE_BREAKERS = Pattern.compile("[\\p{Cc}\\p{Zl}\\p{Zp}]");
-
 	// Lines logged within this time are written together.
 	private static final long BATCH_DELAY_MILLIS = 100;
 
@@ -79,6 +76,7 @@
 		return line.append('\n').toString();
 	}
 
+	// Identifiers in the log come from other processes and must not start a line.
 	private static void appendPair(StringBuilder line, String key, String value) {
 		line.append(' ').append(key).append('=');
 		boolean plain = !value.isEmpty() && value.chars().allMatch((c) -> c > ' ' && c < 0x7f && c != '"' && c != '=');
@@ -86,7 +84,7 @@
 			line.append(value);
 		}
 		else {
-			line.append('"').append(LINE_BREAKERS.matcher(value.replace('"', '\'')).replaceAll(" ")).append('"');
+			line.append(QuotedText.of(value));
 		}
 	}
 
--- a/gateway/src/test/java/org/skylarkstack/logs/BoundedAppenderTests.java
+++ b/gateway/src/test/java/org/skylarkstack/logs/BoundedAppenderTests.java
@@ -3,6 +3,9 @@
 import java.io.ByteArrayOutputStream;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
 
 import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.LoggerContext;
@@ -50,12 +53,27 @@
 	@ValueSource(strings = { "a\nevent=x", "a\revent=x", "a\u0085event=x", "a\u2028event=x", "a\" event=\"x",
 			"a\u001b[2J", "a event=x" })
 	void aValueStaysWithinItsField(String value) {
+		assertThat(logged(value)).matches("time=\\S+ level=INFO server=\"[^\\p{Cc}\\p{Zl}\\p{Zp}\"]*\"\n");
+	}
+
+	private static String logged(String value) {
 		ByteArrayOutputStream bytes = new ByteArrayOutputStream();
 		BoundedAppender appender = new BoundedAppender(new PrintStream(bytes, true, StandardCharsets.UTF_8));
 		appender.append(event(value));
 		appender.stop();
-		String text = bytes.toString(StandardCharsets.UTF_8);
-		assertThat(text).matches("time=\\S+ level=INFO server=\"[^\\p{Cc}\\p{Zl}\\p{Zp}\"]*\"\n");
+		return bytes.toString(StandardCharsets.UTF_8);
+	}
+
+	/** Guards against two names that are the same in the log. */
+	@Test
+	void differentValuesAreLoggedDifferently() {
+		List<String> values = List.of("a b", "a\tb", "a\nb", "a\u2028b", "a\"b ", "a'b ", "a\\u{22}b ", "a\\\"b ",
+				"\u017di\u017eka", "\u0160i\u0161ka", "?i?ka", "a", "\"a\"", "a\ud800", "a\udc00", "a?", "");
+		Set<String> fields = new HashSet<>();
+		for (String value : values) {
+			String line = logged(value);
+			assertThat(fields.add(line.substring(line.indexOf("server=")))).isTrue();
+		}
 	}
 
 }
