Product's router: names in headers, tickets and reports stay as they are

What callers would see: a header with letters outside ASCII ended a request to a plain service with 500; one in a response lost its letters; a query that is not UTF-8 reached the service with other bytes; a key outside ASCII never matched. Tickets accepted "a" and "a" with a line break as two teams, which are one in a report.

Cause: OkHttp writes and reads headers as UTF-8, Jetty with one character for each byte; "$" in the schema's patterns also matches before a line break at the end; the text report separates columns by spaces.

Fix: values are converted between the two clients by HeaderText; what is not UTF-8 is refused (431, 400) or, in a response, dropped and logged. The report quotes names, and the command line writes UTF-8.

--- a/bench/src/main/java/org/skylarkstack/report/BurnReportWriter.java
+++ b/bench/src/main/java/org/skylarkstack/report/BurnReportWriter.java
@@ -16,6 +16,7 @@
 import org.knowm.xchart.BitmapEncoder;
 import org.knowm.xchart.CategoryChart;
 import org.knowm.xchart.CategoryChartBuilder;
+import org.skylarkstack.text.QuotedText;
 
 /**
  * Writes a service-level report as text, JSON or an HTML page.
@@ -45,13 +46,20 @@
 						(kind == BurnRow.Kind.LATENCY) ? "tokens" : "requests", "missed", "budget left", "short",
 						"long", "what burned it"));
 			}
-			text.append(String.format(Locale.ROOT, "%-28s %-8s %10d %8d %11.0f %8.1f %8.1f  %s%n", row.name(),
+			text.append(String.format(Locale.ROOT, "%-28s %-8s %10d %8d %11.0f %8.1f %8.1f  %s%n", shown(row.name()),
 					row.state(), row.requests(), row.failed(), row.budget() - row.failed(), row.shortBurn(),
 					row.longBurn(), causes(row)));
 		}
 		return text.toString();
 	}
 
+	// The columns are separated by spaces, and a line ends at any line break.
+	private static String shown(String name) {
+		boolean plain = name.equals(name.strip()) && !name.contains("  ")
+				&& QuotedText.of(name).equals('"' + name + '"');
+		return plain ? name : QuotedText.of(name);
+	}
+
 	private static String summary(BurnReport report) {
 		String coverage = (report.longSeconds() == 0) ? "since the daemons started"
 				: "windows of %d s and %d s".formatted(report.shortSeconds(), report.longSeconds());
--- a/bench/src/main/java/org/skylarkstack/report/PrometheusTextParser.java
+++ b/bench/src/main/java/org/skylarkstack/report/PrometheusTextParser.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Stream;
 
 /**
  * Parser for the Prometheus text format. Ignores comments, timestamps and exemplars.
@@ -26,7 +27,8 @@
 	 */
 	static List<MetricSample> parse(String text) {
 		List<MetricSample> samples = new ArrayList<>();
-		text.lines()
+		// Other line breaks are not escaped in labels.
+		Stream.of(text.split("\n"))
 			.map(String::strip)
 			.filter((line) -> !line.isEmpty() && !line.startsWith("#"))
 			.forEach((line) -> samples.add(new PrometheusTextParser(line).parseSample()));
--- a/bench/src/test/java/org/skylarkstack/report/BurnCalculatorTests.java
+++ b/bench/src/test/java/org/skylarkstack/report/BurnCalculatorTests.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -112,6 +113,28 @@
 		assertThat(first.rows().get(0).requests()).isEqualTo(1_500);
 	}
 
+	/** Guards against two names that are one in the table, or that end a line of it. */
+	@Test
+	void differentNamesHaveDifferentRows() {
+		List<String> names = List.of("m", "m ", " m", "m  m", "m m", "m\tm", "m\"", "\"m\"", "\u017d", "\u0160");
+		List<BurnRow> rows = names.stream()
+			.map((name) -> new BurnRow(BurnRow.Kind.TEAM, name, 1, 0, 1, 0, 0, Map.of(), BurnState.OK))
+			.toList();
+		String text = BurnReportWriter.text(new BurnReport(1, 1, 1, 1, rows));
+		List<String> lines = text.lines().skip(4).toList();
+		assertThat(lines).hasSize(names.size());
+		assertThat(Set.copyOf(lines.stream().map((line) -> line.replaceAll(" +", " ")).toList())).hasSize(names.size());
+	}
+
+	/** Guards against a name with a line break that makes a scrape unreadable. */
+	@Test
+	void labelsMayContainLineBreaks() {
+		String text = "requests{team=\"a\rb\"} 1\nrequests{team=\"a\u2028b\"} 2\nrequests{team=\"a\\nb\"} 3\n";
+		assertThat(PrometheusTextParser.parse(text).stream().map((sample) -> sample.labels().get("team")).toList())
+			.containsExactly("a\rb", "a\u2028b", "a\nb")
+			.inOrder();
+	}
+
 	/** Guards against output without the state or the causes. */
 	@Test
 	void writesTextJsonAndPage(@TempDir Path directory) throws java.io.IOException {
--- a/runtime/src/main/java/org/skylarkstack/http/Authenticator.java
+++ b/runtime/src/main/java/org/skylarkstack/http/Authenticator.java
@@ -8,6 +8,7 @@
 import org.skylarkstack.kernel.RouterException;
 import org.skylarkstack.misc.Hashes;
 import org.skylarkstack.misc.TimeSource;
+import org.skylarkstack.text.HeaderText;
 
 /**
  * Authenticates callers by their API key and finds their team.
@@ -45,11 +46,12 @@
 		if (key.isEmpty()) {
 			throw new RouterException(ErrorType.UNAUTHENTICATED);
 		}
-		return Hashes.sha256(key);
+		return Hashes.sha256(HeaderText.decode(key));
 	}
 
 	/**
-	 * Returns the caller's API key in plain text. It must not reach backend servers.
+	 * Returns the caller's API key as received, with one character for each byte. It must
+	 * not reach backend servers.
 	 * @param authorization the Authorization header, if any
 	 * @return the key, or an empty string if there is none
 	 */
--- a/runtime/src/main/java/org/skylarkstack/http/ServiceApi.java
+++ b/runtime/src/main/java/org/skylarkstack/http/ServiceApi.java
@@ -25,12 +25,16 @@
 import org.skylarkstack.request.ServiceResponseSink;
 import org.skylarkstack.schedule.RequestClass;
 import org.skylarkstack.settings.CallerLimits;
+import org.skylarkstack.text.HeaderText;
 
 /**
  * HTTP API for plain services: forwards requests on the configured routes.
  */
 public final class ServiceApi {
 
+	// Stands for all bytes that the server cannot read as UTF-8.
+	private static final char REPLACEMENT_CHARACTER = '\uFFFD';
+
 	private final ConfigurationHolder configuration;
 
 	private final Authenticator authenticator;
@@ -87,9 +91,12 @@
 		String teamId = route.open() ? "" : this.authenticator.team(keyHash).id();
 		String key = Authenticator.key(authorization);
 		String query = context.queryString();
-		if (!key.isEmpty() && query != null && query.contains(key)) {
+		if (!key.isEmpty() && query != null && (query.contains(key) || query.contains(HeaderText.decode(key)))) {
 			throw new RouterException(ErrorType.BAD_REQUEST, "the API key must not be part of the query");
 		}
+		if (query != null && query.indexOf(REPLACEMENT_CHARACTER) >= 0) {
+			throw new RouterException(ErrorType.BAD_REQUEST, "the query is not in UTF-8");
+		}
 		byte[] body = this.bodies.read(context.req().getInputStream(), context.req().getContentLengthLong(), slot);
 		JettyConnection connection = new JettyConnection(context, this.unreadTimeoutMillis);
 		OpenRequest open = new OpenRequest(keyHash, teamId, "", slot.cancellation());
--- a/runtime/src/main/java/org/skylarkstack/request/ServiceProxy.java
+++ b/runtime/src/main/java/org/skylarkstack/request/ServiceProxy.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 
 import okhttp3.Call;
+import okhttp3.Headers;
 import okhttp3.HttpUrl;
 import okhttp3.MediaType;
 import okhttp3.OkHttpClient;
@@ -34,6 +35,9 @@
 import org.skylarkstack.misc.TimeSource;
 import org.skylarkstack.response.RefusalStatus;
 import org.skylarkstack.response.ResponseCompleteness;
+import org.skylarkstack.text.HeaderText;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Forwards requests to plain services and passes the responses back.
@@ -45,8 +49,12 @@
  */
 public final class ServiceProxy {
 
+	private static final Logger LOG = LoggerFactory.getLogger(ServiceProxy.class);
+
 	private static final int BUFFER_BYTES = 16 * 1024;
 
+	private static final char REPLACEMENT_CHARACTER = '\uFFFD';
+
 	private static final int NO_CONTENT = 204;
 
 	private static final int NOT_MODIFIED = 304;
@@ -131,6 +139,7 @@
 		if (METHODS_WITHOUT_BODY.contains(request.method()) && request.body().length > 0) {
 			throw new RouterException(ErrorType.BAD_REQUEST, request.method() + " requests have no body");
 		}
+		checkHeaders(request);
 		checkTimeLeft(request.route(), request.idempotent());
 		this.retryBudget.recordRequest(this.time.nanos());
 		Set<String> tried = new HashSet<>();
@@ -158,6 +167,16 @@
 		}
 	}
 
+	// The HTTP client writes headers in UTF-8 and has no form for other bytes.
+	private static void checkHeaders(ServiceRequest request) {
+		for (Header header : request.headers()) {
+			if (HeaderText.decodeUtf8(header.value()) == null) {
+				throw new RouterException(ErrorType.BAD_HEADERS,
+						"the value of %s is not in UTF-8".formatted(header.name()));
+			}
+		}
+	}
+
 	private boolean hasUntried(ServiceRequest request, Set<String> tried) {
 		return servers(request).stream().anyMatch((server) -> !server.leaving() && !tried.contains(server.url()));
 	}
@@ -271,15 +290,17 @@
 		}
 
 		private Request httpRequest(BackendServer server) {
-			Request.Builder builder = new Request.Builder().url(url(server, this.request.target()))
-				.tag(SendTracker.class, this.tracker);
+			Headers.Builder headers = new Headers.Builder();
 			String contentType = null;
 			for (Header header : this.request.headers()) {
 				if ("content-type".equalsIgnoreCase(header.name())) {
 					contentType = header.value();
 				}
-				builder.addHeader(header.name(), header.value());
+				headers.addUnsafeNonAscii(header.name(), HeaderText.decode(header.value()));
 			}
+			Request.Builder builder = new Request.Builder().url(url(server, this.request.target()))
+				.tag(SendTracker.class, this.tracker)
+				.headers(headers.build());
 			if (this.request.headers().stream().noneMatch((h) -> "accept-encoding".equalsIgnoreCase(h.name()))) {
 				// Otherwise OkHttp would ask for gzip and change the headers of the
 				// response.
@@ -298,12 +319,10 @@
 			InputStream body = new CheckedBodyStream(response.body().byteStream(),
 					new ResponseCompleteness(isFramed(response), sendsEvents(response)), this.tracker::hasFailed);
 			ByteArrayOutputStream buffered = (this.claimedRun != null) ? readAndRecordOutcome(response, body) : null;
-			List<Header> headers = new ArrayList<>();
-			response.headers().forEach((pair) -> headers.add(new Header(pair.getFirst(), pair.getSecond())));
+			List<Header> callerHeaders = new ArrayList<>(HeaderFilter.towardsCaller(headers(response)));
 			String retryAfter = BackendClients.retryAfter(response);
-			List<Header> callerHeaders = new ArrayList<>(HeaderFilter.towardsCaller(headers));
 			if (retryAfter != null) {
-				callerHeaders.add(new Header("Retry-After", retryAfter));
+				callerHeaders.add(new Header("Retry-After", HeaderText.encode(retryAfter)));
 			}
 			this.responseStarted = true;
 			this.responseSink.begin(response.code(), callerHeaders, response.body().contentLength());
@@ -321,6 +340,26 @@
 			}
 		}
 
+		// The HTTP client reads headers as UTF-8, and does not tell bytes that are not
+		// from
+		// each other.
+		private static List<Header> headers(Response response) {
+			List<Header> headers = new ArrayList<>();
+			response.headers().forEach((pair) -> {
+				if (pair.getSecond().indexOf(REPLACEMENT_CHARACTER) < 0) {
+					headers.add(new Header(pair.getFirst(), HeaderText.encode(pair.getSecond())));
+				}
+				else {
+					LOG.atWarn()
+						.addKeyValue("event", "response_header_dropped")
+						.addKeyValue("header", pair.getFirst())
+						.addKeyValue("why", "its value is not in UTF-8")
+						.log();
+				}
+			});
+			return headers;
+		}
+
 		private boolean sendsEvents(Response response) {
 			return response.isSuccessful() && ResponseCompleteness.isEventStream(contentType(response));
 		}
--- a/runtime/src/test/java/org/skylarkstack/configuration/TicketLogTests.java
+++ b/runtime/src/test/java/org/skylarkstack/configuration/TicketLogTests.java
@@ -9,6 +9,8 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.skylarkstack.kernel.ErrorType;
 import org.skylarkstack.kernel.RouterException;
 
@@ -62,6 +64,28 @@
 		assertThat(this.configuration.current().team("a").orElseThrow().tokensPerSecond()).isEqualTo(2);
 	}
 
+	/**
+	 * Guards against names that are one on a wire, in a row or in a report, although they
+	 * differ in the ticket.
+	 */
+	@ParameterizedTest
+	@ValueSource(strings = { "a\n", "a ", " a", "a\t", "\u017d", "a\u0000", "", "a/b" })
+	void identifiersThatCannotBeCarriedAreRefused(String id) {
+		RouterException refusal = refused(Tickets.ticket(1, "ann", Tickets.team(id)));
+		assertThat(refusal.type()).isEqualTo(ErrorType.TICKET_INVALID);
+		assertThat(refusal).hasMessageThat().contains("/changes/0/key/id");
+	}
+
+	/** Guards against names of models and data centres that are one in a report. */
+	@ParameterizedTest
+	@ValueSource(strings = { "a\n", "a\r", "a\ud800", "a\u0085", "" })
+	void namesThatCannotBeCarriedAreRefused(String model) {
+		RouterException refusal = refused(Tickets.ticket(1, "ann", Tickets.engine("e", model)));
+		assertThat(refusal.type()).isEqualTo(ErrorType.TICKET_INVALID);
+		assertThat(refusal).hasMessageThat().contains("/changes/0/object/model");
+		assertThat(submit(Tickets.ticket(1, "ann", Tickets.engine("e", "m \u017d"))).number()).isEqualTo(1);
+	}
+
 	/** Guards against a content hash that depends on the iteration order of a set. */
 	@Test
 	void methodsOfRoutesAreSorted() {
--- a/runtime/src/test/java/org/skylarkstack/configuration/Tickets.java
+++ b/runtime/src/test/java/org/skylarkstack/configuration/Tickets.java
@@ -20,6 +20,10 @@
 		return new ApiKey(id, Hashes.sha256(id), teamId);
 	}
 
+	static EngineNode engine(String id, String model) {
+		return new EngineNode(id, "http://127.0.0.1:1", "dc", model, EngineRole.BOTH, 1, 1, 1, false, false);
+	}
+
 	static Ticket ticket(long number, String author, ConfigurationObject... objects) {
 		return new Ticket(number, author, List.of(objects).stream().map(TicketChange::set).toList());
 	}
--- a/runtime/src/test/java/org/skylarkstack/http/CallerApiTests.java
+++ b/runtime/src/test/java/org/skylarkstack/http/CallerApiTests.java
@@ -17,9 +17,11 @@
 import mockwebserver3.MockWebServer;
 import mockwebserver3.RecordedRequest;
 import mockwebserver3.SocketEffect;
+import okhttp3.Headers;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.skylarkstack.configuration.ApiKey;
 import org.skylarkstack.configuration.BackendServer;
 import org.skylarkstack.configuration.BackendService;
 import org.skylarkstack.configuration.KeyFreshness;
@@ -30,6 +32,7 @@
 import org.skylarkstack.kernel.Cancellation;
 import org.skylarkstack.kernel.Verdict;
 import org.skylarkstack.metrics.RouterMetrics;
+import org.skylarkstack.misc.Hashes;
 import org.skylarkstack.misc.TimeSource;
 import org.skylarkstack.request.BackendServerSelector;
 import org.skylarkstack.request.RequestPathFixture;
@@ -347,6 +350,84 @@
 		assertThat(response.toLowerCase(java.util.Locale.ROOT)).contains("x-skylark-verdict: may-have-run");
 	}
 
+	// Guards against names in headers that lose their letters in either direction, so
+	// that
+	// two customers become one.
+	@Test
+	void headersOutsideAsciiArriveAsSent() throws Exception {
+		for (String name : List.of("\u017di\u017eka", "\u0160i\u0161ka", "\u00c5\u00bd", "\u017d",
+				"\u0938\u0902\u0918")) {
+			this.service.enqueue(new MockResponse.Builder()
+				.headers(new Headers.Builder().addUnsafeNonAscii("X-Customer", name).build())
+				.body("soup")
+				.build());
+			String response = sendAndReadAll(head("GET /menu", 0, "X-Name: " + name));
+			assertThat(response).startsWith("HTTP/1.1 200");
+			assertThat(response).contains("X-Customer: " + name + "\r\n");
+			assertThat(this.service.takeRequest().getHeaders().get("X-Name")).isEqualTo(name);
+		}
+	}
+
+	// Guards against a header that reaches the service with other bytes, or fails as an
+	// internal error that may have run.
+	@Test
+	void headerThatIsNotInUtf8IsRefused() throws IOException {
+		try (Socket socket = new Socket("127.0.0.1", this.server.port())) {
+			socket.getOutputStream()
+				.write(head("GET /menu", 0, "X-Name: \u00e9", "Connection: close")
+					.getBytes(StandardCharsets.ISO_8859_1));
+			String response = new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+			assertThat(response).startsWith("HTTP/1.1 431");
+			assertThat(response).contains("X-Name");
+		}
+		assertThat(this.service.getRequestCount()).isEqualTo(0);
+	}
+
+	// Guards against two names in a query that reach the service as one.
+	@Test
+	void queryOutsideAsciiIsEncodedOrRefused() throws Exception {
+		this.service.enqueue(new MockResponse.Builder().body("soup").build());
+		assertThat(sendAndReadAll(head("GET /menu?name=\u017d", 0))).startsWith("HTTP/1.1 200");
+		assertThat(this.service.takeRequest().getRequestLine()).startsWith("GET /menu?name=%C5%BD ");
+		for (String name : List.of("\u00e9", "\u00e8")) {
+			try (Socket socket = new Socket("127.0.0.1", this.server.port())) {
+				socket.getOutputStream()
+					.write(head("GET /menu?name=" + name, 0, "Connection: close")
+						.getBytes(StandardCharsets.ISO_8859_1));
+				String response = new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+				assertThat(response).startsWith("HTTP/1.1 400");
+			}
+		}
+		assertThat(this.service.getRequestCount()).isEqualTo(1);
+	}
+
+	// Guards against two names of a service's response that its caller gets as one.
+	@Test
+	void headerOfAResponseThatIsNotInUtf8IsDropped() throws IOException {
+		this.service.enqueue(new MockResponse.Builder()
+			.headers(new Headers.Builder().addUnsafeNonAscii("X-Customer", "a\ufffd").add("X-Menu", "soup").build())
+			.body("soup")
+			.build());
+		String response = sendAndReadAll(head("GET /menu", 0));
+		assertThat(response).contains("X-Menu: soup");
+		assertThat(response).doesNotContain("X-Customer");
+	}
+
+	// Guards against a key in another script that its caller cannot use.
+	@Test
+	void keyIsReadAsUtf8() throws Exception {
+		this.fixture.apply(new Ticket(3, "test",
+				List.of(TicketChange.set(new ApiKey("utf8", Hashes.sha256("kl\u00ed\u010d"), "team")))));
+		String request = head("GET /v1/models", 0);
+		assertThat(sendAndReadAll(request.replace("Bearer key", "Bearer kl\u00ed\u010d"))).startsWith("HTTP/1.1 200");
+		assertThat(sendAndReadAll(request.replace("Bearer key", "Bearer kl\u00ed\u010e"))).startsWith("HTTP/1.1 401");
+		this.service.enqueue(new MockResponse.Builder().build());
+		assertThat(sendAndReadAll(
+				head("GET /menu", 0, "X-Copy: kl\u00ed\u010d").replace("Bearer key", "Bearer kl\u00ed\u010d")))
+			.startsWith("HTTP/1.1 200");
+		assertThat(this.service.takeRequest().getHeaders().get("X-Copy")).isNull();
+	}
+
 	// Guards against responses to HEAD that announce a body and never end.
 	@Test
 	void headAndEmptyResponsesPass() throws IOException {
--- a/tool/src/main/java/org/skylarkstack/tool/Main.java
+++ b/tool/src/main/java/org/skylarkstack/tool/Main.java
@@ -1,5 +1,9 @@
 package org.skylarkstack.tool;
 
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -23,6 +27,9 @@
 	 * @param arguments the subcommand and its options
 	 */
 	public static void main(String[] arguments) {
+		// The encoding of the locale may lack letters of names.
+		System.setOut(new PrintStream(new FileOutputStream(FileDescriptor.out), true, StandardCharsets.UTF_8));
+		System.setErr(new PrintStream(new FileOutputStream(FileDescriptor.err), true, StandardCharsets.UTF_8));
 		System.exit(run(List.of(arguments)));
 	}
 
