--- a/gateway/src/main/java/org/skylarkstack/edge/BackendRequestEncoder.java
+++ b/gateway/src/main/java/org/skylarkstack/edge/BackendRequestEncoder.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpConstants;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 
@@ -15,9 +16,16 @@
 
 	@Override
 	protected void encodeInitialLine(ByteBuf buffer, HttpRequest request) {
-		buffer.writeCharSequence(
-				"%s %s %s\r\n".formatted(request.method().name(), request.uri(), request.protocolVersion().text()),
-				StandardCharsets.ISO_8859_1);
+		write(buffer, request.method().name());
+		buffer.writeByte(HttpConstants.SP);
+		write(buffer, request.uri());
+		buffer.writeByte(HttpConstants.SP);
+		write(buffer, request.protocolVersion().text());
+		buffer.writeByte(HttpConstants.CR).writeByte(HttpConstants.LF);
+	}
+
+	private static void write(ByteBuf buffer, String text) {
+		buffer.writeCharSequence(text, StandardCharsets.ISO_8859_1);
 	}
 
 }
--- a/gateway/src/main/java/org/skylarkstack/gateway/ServiceExchange.java
+++ b/gateway/src/main/java/org/skylarkstack/gateway/ServiceExchange.java
@@ -273,8 +273,9 @@
 				retryOrGiveUp(new BackendFailure(BackendFailure.Kind.MALFORMED, Verdict.MAY_HAVE_RUN), true);
 				return;
 			}
-			server().recordResponse(head.status() >= SERVER_ERROR || head.isUnprovenRefusal());
-			if (head.isUnprovenRefusal()) {
+			boolean unprovenRefusal = head.isUnprovenRefusal();
+			server().recordResponse(unprovenRefusal || head.status() >= SERVER_ERROR);
+			if (unprovenRefusal) {
 				retryOrGiveUp(new BackendFailure(BackendFailure.Kind.UNPROVEN_REFUSAL, Verdict.MAY_HAVE_RUN), true);
 			}
 			else if (head.status() < SERVER_ERROR) {
--- a/kernel/src/main/java/org/skylarkstack/kernel/ErrorType.java
+++ b/kernel/src/main/java/org/skylarkstack/kernel/ErrorType.java
@@ -51,8 +51,7 @@
 			"the request needs %s tokens, but the burst of team %s is %s tokens"),
 
 	/** The name of the team cannot be sent to servers unchanged. */
-	TEAM_NAME_UNUSABLE(1109, 503, "overloaded_error", Verdict.NOT_RUN,
-			"requests of team %s are refused because its name %s"),
+	TEAM_NAME_UNUSABLE(1109, 503, "api_error", Verdict.NOT_RUN, "requests of team %s are refused because its name %s"),
 
 	/**
 	 * The store is down, so a non-idempotent request with an idempotency key cannot be
--- a/kernel/src/main/java/org/skylarkstack/text/HeaderText.java
+++ b/kernel/src/main/java/org/skylarkstack/text/HeaderText.java
@@ -13,6 +13,8 @@
  */
 public final class HeaderText {
 
+	private static final int FIRST_NON_ASCII = 0x80;
+
 	private HeaderText() {
 	}
 
@@ -31,6 +33,9 @@
 	 * @return the text, or {@code null} if the bytes are not valid UTF-8
 	 */
 	public static @Nullable String decodeUtf8(String value) {
+		if (value.chars().allMatch((character) -> character < FIRST_NON_ASCII)) {
+			return value;
+		}
 		try {
 			return StandardCharsets.UTF_8.newDecoder()
 				.decode(ByteBuffer.wrap(value.getBytes(StandardCharsets.ISO_8859_1)))
--- a/runtime/src/main/java/org/skylarkstack/request/ServiceProxy.java
+++ b/runtime/src/main/java/org/skylarkstack/request/ServiceProxy.java
@@ -268,8 +268,7 @@
 			}
 		}
 
-		// A service cannot state that it has not run a request, but callers would take
-		// the
+		// A service cannot state that it has not run a request. Callers would take the
 		// status for that statement.
 		private static void rejectStatusOfRefusal(BackendServer server, Response response) {
 			if (RefusalStatus.matches(response.code())) {
@@ -340,9 +339,7 @@
 			}
 		}
 
-		// The HTTP client reads headers as UTF-8, and does not tell bytes that are not
-		// from
-		// each other.
+		// The HTTP client reads headers as UTF-8. Values with other bytes look alike.
 		private static List<Header> headers(Response response) {
 			List<Header> headers = new ArrayList<>();
 			response.headers().forEach((pair) -> {
